--- /dev/null
+++ b/source/core/Log.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace lagoontiller::core {
+
+enum class LogLevel : int {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/// \brief Sends log lines to standard error through Boost.Log; lines below `threshold` are dropped.
+void initialiseLogging(LogLevel threshold, std::string nodeName);
+
+/// \brief One log event: `time=… level=… node=… event=… key=value …`, written when the object is destroyed.
+///
+/// Values with blanks, quotes or line breaks are quoted. Keys, tokens and message bodies must not be logged.
+class LogLine {
+public:
+    LogLine(LogLevel level, std::string_view event);
+    ~LogLine();
+    LogLine(const LogLine&) = delete;
+    LogLine& operator=(const LogLine&) = delete;
+
+    LogLine& with(std::string_view key, std::string_view value);
+    LogLine& with(std::string_view key, const char* value) { return this->with(key, std::string_view(value)); }
+    template <typename Number> LogLine& with(std::string_view key, Number value) requires std::is_arithmetic_v<Number>
+    {
+        return this->append(key, std::to_string(value));
+    }
+
+private:
+    LogLine& append(std::string_view key, const std::string& value);
+
+    LogLevel level;
+    bool enabled;
+    std::string text;
+};
+
+[[nodiscard]] inline LogLine logInfo(std::string_view event)
+{
+    return LogLine(LogLevel::Info, event);
+}
+[[nodiscard]] inline LogLine logWarning(std::string_view event)
+{
+    return LogLine(LogLevel::Warning, event);
+}
+[[nodiscard]] inline LogLine logError(std::string_view event)
+{
+    return LogLine(LogLevel::Error, event);
+}
+
+} // namespace lagoontiller::core
--- /dev/null
+++ b/source/core/Metrics.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lagoontiller::core {
+
+/// \brief Labels of a metric, in the order in which they are printed, for example {{"customer", "a"}, {"class", "b"}}.
+using MetricLabels = std::vector<std::pair<std::string, std::string>>;
+
+/// \brief Upper bound and cumulative count of one histogram bucket, in the unit of the samples.
+struct HistogramBucket {
+    double upperBound = 0;
+    std::uint64_t cumulativeCount = 0;
+    [[nodiscard]] bool operator==(const HistogramBucket&) const = default;
+};
+
+/// \brief Counters, gauges and Boost.Histogram histograms with labels; printed in the Prometheus text format.
+///
+/// Thread-safe. Histograms have logarithmic buckets from 0.1 to 1,000,000 of the sample's unit (milliseconds for
+/// times).
+class MetricRegistry {
+public:
+    MetricRegistry();
+    ~MetricRegistry();
+    MetricRegistry(const MetricRegistry&) = delete;
+    MetricRegistry& operator=(const MetricRegistry&) = delete;
+
+    void add(const std::string& name, const MetricLabels& labels, double amount = 1);
+    void set(const std::string& name, const MetricLabels& labels, double value);
+    void observe(const std::string& name, const MetricLabels& labels, double sample);
+
+    [[nodiscard]] double value(const std::string& name, const MetricLabels& labels) const;
+    [[nodiscard]] std::vector<HistogramBucket> buckets(const std::string& name, const MetricLabels& labels) const;
+    /// \brief Names and labels of all histograms, for the status page.
+    [[nodiscard]] std::vector<std::pair<std::string, MetricLabels>> histograms() const;
+    [[nodiscard]] std::string text() const;
+
+private:
+    struct Implementation;
+    mutable std::mutex mutex;
+    std::unique_ptr<Implementation> implementation;
+};
+
+} // namespace lagoontiller::core
--- /dev/null
+++ b/source/core/Precompiled.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <tl/expected.hpp>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
--- /dev/null
+++ b/source/core/Time.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chrono>
+
+namespace lagoontiller::core {
+
+/// \brief Length of time with a resolution of one microsecond.
+using Duration = std::chrono::microseconds;
+
+/// \brief Monotonic time, passed as `now` to every function that decides something. Not comparable between processes.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// \brief Reads the monotonic clock. Only the runtime calls this; deciding functions get the result as an argument.
+[[nodiscard]] inline TimePoint monotonicNow() noexcept
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+/// \brief Milliseconds since the Unix epoch, for log lines and records.
+[[nodiscard]] inline std::int64_t unixMilliseconds() noexcept
+{
+    using std::chrono::system_clock;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+} // namespace lagoontiller::core
--- /dev/null
+++ b/tests/Precompiled.h
@@ -0,0 +1,6 @@
+#pragma once
+
+#include "core/Precompiled.h"
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
