Add outgoing HTTP, platform and endpoint clients, and the caller HTTP server

Cause: every later part needs typed interfaces in front of the wire formats. Change: http::Client on one libcurl thread with first-byte and silence limits and a fresh connection for requests that may not be repeated; table, object store, VM list, engine and service clients; RESTinio server with limits on headers, body, connections and connections per address.

--- /dev/null
+++ b/source/engines/impl/EventStream.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace lagoontiller::engines::impl {
+
+/// \brief Splits a server-sent event stream into the payloads of its `data:` lines.
+class EventStream {
+public:
+    /// \brief Feeds received bytes; calls `onData` for each complete data line.
+    void feed(std::string_view bytes, const std::function<void(std::string_view)>& onData);
+
+private:
+    std::string pending;
+};
+
+} // namespace lagoontiller::engines::impl
--- /dev/null
+++ b/source/http/Client.cpp
@@ -0,0 +1,195 @@
+#include "http/Client.h"
+
+#include "http/impl/Transfer.h"
+
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+namespace lagoontiller::http {
+
+namespace {
+
+constexpr std::size_t maximumWholeBody = std::size_t(256) << 20; // bytes
+constexpr long connectionCacheSize = 2000;
+constexpr int pollMilliseconds = 50;
+
+} // namespace
+
+class Client::Implementation {
+public:
+    Implementation()
+    {
+        curl_global_init(CURL_GLOBAL_DEFAULT);
+        this->multi = curl_multi_init();
+        curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, connectionCacheSize);
+        curl_multi_setopt(this->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+        this->thread = std::thread([this] { this->run(); });
+    }
+
+    ~Implementation()
+    {
+        this->stopping = true;
+        curl_multi_wakeup(this->multi);
+        this->thread.join();
+        curl_multi_cleanup(this->multi);
+    }
+
+    RequestId start(Request request, Handler handler)
+    {
+        const RequestId id = ++this->lastId;
+        this->enqueue([this, id, request = std::move(request), handler = std::move(handler)]() mutable {
+            auto transfer = std::make_unique<impl::Transfer>(id, std::move(request), std::move(handler), core::monotonicNow());
+            curl_multi_add_handle(this->multi, transfer->handle());
+            this->transfers.emplace(id, std::move(transfer));
+        });
+        return id;
+    }
+
+    void cancel(RequestId id)
+    {
+        this->enqueue([this, id] { this->abandon(id, FailureKind::Cancelled); });
+    }
+
+private:
+    using Command = std::function<void()>;
+
+    void enqueue(Command command)
+    {
+        bool first = false;
+        {
+            const std::lock_guard lock(this->mutex);
+            first = this->commands.empty();
+            this->commands.push_back(std::move(command));
+        }
+        if (first)
+            curl_multi_wakeup(this->multi);
+    }
+
+    void run()
+    {
+        while (!this->stopping) {
+            this->runCommands();
+            int running = 0;
+            curl_multi_perform(this->multi, &running);
+            this->collectFinished();
+            this->expireSilent();
+            curl_multi_poll(this->multi, nullptr, 0, pollMilliseconds, nullptr);
+        }
+        this->runCommands();
+        while (!this->transfers.empty())
+            this->abandon(this->transfers.begin()->first, FailureKind::Cancelled);
+    }
+
+    void runCommands()
+    {
+        std::vector<Command> batch;
+        {
+            const std::lock_guard lock(this->mutex);
+            batch.swap(this->commands);
+        }
+        for (auto& command : batch)
+            command();
+    }
+
+    void collectFinished()
+    {
+        int remaining = 0;
+        while (CURLMsg* message = curl_multi_info_read(this->multi, &remaining)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            const CURLcode result = message->data.result;
+            impl::Transfer* transfer = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+            curl_multi_remove_handle(this->multi, transfer->handle());
+            transfer->finish(result);
+            this->transfers.erase(transfer->id());
+        }
+    }
+
+    void expireSilent()
+    {
+        const auto now = core::monotonicNow();
+        if (now - this->lastExpiry < std::chrono::milliseconds(pollMilliseconds))
+            return;
+        this->lastExpiry = now;
+        std::vector<std::pair<RequestId, FailureKind>> expired;
+        for (const auto& [id, transfer] : this->transfers) {
+            if (const auto kind = transfer->expired(now))
+                expired.emplace_back(id, *kind);
+        }
+        for (const auto& [id, kind] : expired)
+            this->abandon(id, kind);
+    }
+
+    void abandon(RequestId id, FailureKind kind)
+    {
+        const auto found = this->transfers.find(id);
+        if (found == this->transfers.end())
+            return;
+        const auto transfer = std::move(found->second);
+        this->transfers.erase(found);
+        curl_multi_remove_handle(this->multi, transfer->handle());
+        transfer->fail(kind, std::string(name(kind)));
+    }
+
+    CURLM* multi = nullptr;
+    std::thread thread;
+    std::atomic<bool> stopping { false };
+    std::atomic<RequestId> lastId { 0 };
+    std::mutex mutex;
+    std::vector<Command> commands;
+    std::unordered_map<RequestId, std::unique_ptr<impl::Transfer>> transfers;
+    core::TimePoint lastExpiry {};
+};
+
+Client::Client()
+    : implementation(std::make_unique<Implementation>())
+{
+}
+
+Client::~Client() = default;
+
+RequestId Client::start(Request request, Handler handler)
+{
+    return this->implementation->start(std::move(request), std::move(handler));
+}
+
+RequestId Client::fetch(Request request, WholeHandler handler)
+{
+    struct Collector {
+        Response response;
+        WholeHandler handler;
+        bool overflow = false;
+
+        void operator()(const ResponseHead& head)
+        {
+            this->response.status = head.status;
+            this->response.headers = head.headers;
+        }
+        void operator()(const ResponseData& data)
+        {
+            this->overflow = this->overflow || this->response.body.size() + data.bytes.size() > maximumWholeBody;
+            if (!this->overflow)
+                this->response.body.append(data.bytes);
+        }
+        void operator()(const ResponseEnd&)
+        {
+            if (this->overflow)
+                this->handler(tl::unexpected(ResponseFailure { FailureKind::Interrupted, "answer body too large" }));
+            else
+                this->handler(std::move(this->response));
+        }
+        void operator()(const ResponseFailure& failure) { this->handler(tl::unexpected(failure)); }
+    };
+    auto collector = std::make_shared<Collector>();
+    collector->handler = std::move(handler);
+    return this->start(std::move(request), [collector](const ResponseEvent& event) { std::visit(*collector, event); });
+}
+
+void Client::cancel(RequestId id)
+{
+    this->implementation->cancel(id);
+}
+
+} // namespace lagoontiller::http
--- /dev/null
+++ b/source/http/impl/Transfer.cpp
@@ -0,0 +1,146 @@
+#include "http/impl/Transfer.h"
+
+#include <cstdlib>
+
+namespace lagoontiller::http::impl {
+
+namespace {
+
+std::string_view trim(std::string_view text) noexcept
+{
+    const auto first = text.find_first_not_of(" \t\r\n");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+} // namespace
+
+Transfer::Transfer(RequestId id, Request request, Client::Handler handler, core::TimePoint now)
+    : requestId(id)
+    , request(std::move(request))
+    , handler(std::move(handler))
+    , easy(curl_easy_init())
+    , started(now)
+    , lastActivity(now)
+{
+    this->configure();
+}
+
+Transfer::~Transfer()
+{
+    curl_easy_cleanup(this->easy);
+    curl_slist_free_all(this->headerList);
+}
+
+void Transfer::configure()
+{
+    curl_easy_setopt(this->easy, CURLOPT_URL, this->request.url.c_str());
+    curl_easy_setopt(this->easy, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(this->easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(this->easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(this->easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(this->easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(this->request.connectTimeout.count() / 1000));
+    curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, &Transfer::onHeader);
+    curl_easy_setopt(this->easy, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(this->easy, CURLOPT_WRITEFUNCTION, &Transfer::onBody);
+    curl_easy_setopt(this->easy, CURLOPT_WRITEDATA, this);
+    if (this->request.freshConnection) {
+        curl_easy_setopt(this->easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(this->easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    if (this->request.method != "GET") {
+        curl_easy_setopt(this->easy, CURLOPT_CUSTOMREQUEST, this->request.method.c_str());
+        curl_easy_setopt(this->easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(this->request.body.size()));
+        curl_easy_setopt(this->easy, CURLOPT_POSTFIELDS, this->request.body.data());
+    }
+    // Without this libcurl waits up to a second for "100 Continue" before it sends a body over 1 MB.
+    this->headerList = curl_slist_append(this->headerList, "Expect:");
+    for (const auto& header : this->request.headers)
+        this->headerList = curl_slist_append(this->headerList, (header.name + ": " + header.value).c_str());
+    curl_easy_setopt(this->easy, CURLOPT_HTTPHEADER, this->headerList);
+}
+
+std::size_t Transfer::onHeader(char* data, std::size_t size, std::size_t count, void* self)
+{
+    auto& transfer = *static_cast<Transfer*>(self);
+    transfer.answered = true;
+    transfer.lastActivity = core::monotonicNow();
+    const std::string_view line(data, size * count);
+    const auto colon = line.find(':');
+    if (line.starts_with("HTTP/"))
+        transfer.head = {};
+    else if (colon != std::string_view::npos)
+        transfer.head.headers.push_back({ std::string(trim(line.substr(0, colon))), std::string(trim(line.substr(colon + 1))) });
+    else if (trim(line).empty())
+        transfer.deliverHead();
+    return size * count;
+}
+
+void Transfer::deliverHead()
+{
+    long status = 0;
+    curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
+    constexpr long firstFinalStatus = 200;
+    if (status < firstFinalStatus || this->headDelivered)
+        return;
+    this->head.status = static_cast<int>(status);
+    this->headDelivered = true;
+    this->handler(this->head);
+}
+
+std::size_t Transfer::onBody(char* data, std::size_t size, std::size_t count, void* self)
+{
+    auto& transfer = *static_cast<Transfer*>(self);
+    transfer.lastActivity = core::monotonicNow();
+    transfer.handler(ResponseData { std::string_view(data, size * count) });
+    return size * count;
+}
+
+std::optional<FailureKind> Transfer::expired(core::TimePoint now) const noexcept
+{
+    const auto passed = [](core::Duration limit, core::Duration elapsed) { return limit.count() > 0 && elapsed > limit; };
+    if (!this->answered && passed(this->request.firstByteTimeout, now - this->started))
+        return FailureKind::FirstByteTimeout;
+    if (this->answered && passed(this->request.silenceTimeout, now - this->lastActivity))
+        return FailureKind::SilenceTimeout;
+    if (passed(this->request.totalTimeout, now - this->started))
+        return this->answered ? FailureKind::SilenceTimeout : FailureKind::FirstByteTimeout;
+    return std::nullopt;
+}
+
+FailureKind Transfer::kindOf(CURLcode result) const
+{
+    if (this->answered)
+        return FailureKind::Interrupted;
+    curl_off_t connected = 0;
+    curl_easy_getinfo(this->easy, CURLINFO_CONNECT_TIME_T, &connected);
+    long connections = 0;
+    curl_easy_getinfo(this->easy, CURLINFO_NUM_CONNECTS, &connections);
+    const bool reused = connections == 0;
+    if (result == CURLE_COULDNT_CONNECT || (connected == 0 && !reused))
+        return FailureKind::NotConnected;
+    return FailureKind::NoAnswer;
+}
+
+void Transfer::finish(CURLcode result)
+{
+    if (this->ended)
+        return;
+    if (result != CURLE_OK) {
+        this->fail(this->kindOf(result), curl_easy_strerror(result));
+        return;
+    }
+    this->ended = true;
+    this->handler(ResponseEnd {});
+}
+
+void Transfer::fail(FailureKind kind, std::string message)
+{
+    if (this->ended)
+        return;
+    this->ended = true;
+    this->handler(ResponseFailure { kind, std::move(message) });
+}
+
+} // namespace lagoontiller::http::impl
--- /dev/null
+++ b/source/tables/TableClient.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/Error.h"
+#include "http/Client.h"
+#include "tables/Transaction.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoontiller::tables {
+
+/// \brief The platform's transactional table service.
+///
+/// Calls return at once; handlers run on the HTTP traffic thread. Errors: StoreUnavailable when the operation certainly
+/// had no effect, StoreOutcomeUnknown when a transaction may have taken effect and must be read back.
+class TableClient {
+public:
+    using TransactionHandler = std::function<void(core::Expected<TransactionReply>)>;
+    using ReadHandler = std::function<void(core::Expected<std::optional<Row>>)>;
+    using ScanHandler = std::function<void(core::Expected<std::vector<Row>>)>;
+
+    TableClient(http::Client& client, std::string address);
+
+    void transact(const Transaction& transaction, TransactionHandler handler) const;
+    void read(const std::string& key, ReadHandler handler) const;
+    /// \brief Rows whose key begins with `prefix` and is greater than `after`, in key order, at most `limit`.
+    void scan(const std::string& prefix, const std::string& after, int limit, ScanHandler handler) const;
+
+private:
+    [[nodiscard]] http::Request request(std::string method, const std::string& target, std::string body) const;
+
+    http::Client& client;
+    std::string address;
+};
+
+} // namespace lagoontiller::tables
