Read and check documents and settings, add the commands check and hash-key

Operators need every fault of a document at once, with its position. The INI reader keeps line and column around inih, one schema table per file kind drives the check, the values and later the forms, and Document holds the typed values.

--- /dev/null
+++ b/source/command/CheckCommand.cpp
@@ -0,0 +1,71 @@
+#include "command/CheckCommand.h"
+
+#include "command/Arguments.h"
+#include "command/ExitStatus.h"
+#include "command/ReadFile.h"
+#include "document/Check.h"
+#include "document/IniText.h"
+#include "settings/Settings.h"
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace lagoontiller::command {
+
+namespace {
+
+nlohmann::ordered_json toJson(const document::Fault& fault)
+{
+    return { { "line", fault.line }, { "column", fault.column }, { "section", fault.section }, { "key", fault.key },
+        { "problem", fault.problem }, { "allowed", fault.allowed }, { "hint", fault.hint } };
+}
+
+void printJson(const std::string& file, const document::Faults& faults)
+{
+    auto list = nlohmann::ordered_json::array();
+    for (const auto& fault : faults)
+        list.push_back(toJson(fault));
+    const nlohmann::ordered_json report { { "file", file }, { "faults", std::move(list) } };
+    std::cout << report.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) << '\n';
+}
+
+void printText(const std::string& file, const document::Faults& faults)
+{
+    for (const auto& fault : faults)
+        std::cout << document::format(fault, file) << '\n';
+    if (faults.empty())
+        std::cout << file << ": no faults\n";
+    else
+        std::cout << file << ": " << faults.size() << (faults.size() == 1 ? " fault\n" : " faults\n");
+}
+
+} // namespace
+
+int runCheck(int argc, const char* const* argv)
+{
+    cxxopts::Options options("lagoontiller check", "List every fault of a document or settings file (- for stdin)");
+    options.add_options()("file", "File to check", cxxopts::value<std::string>())(
+        "settings", "The file holds process settings instead of a document")("json", "Print the faults as JSON");
+    options.parse_positional("file");
+    options.positional_help("FILE");
+    const auto arguments = parseArguments(options, argc, argv);
+    if (const auto* const status = std::get_if<int>(&arguments))
+        return *status;
+    const auto& parsed = std::get<cxxopts::ParseResult>(arguments);
+    if (parsed.count("file") != 1)
+        return usageError(options, "give one file");
+    const auto file = parsed["file"].as<std::string>();
+    const auto text = readFile(file, document::maximumTextBytes);
+    if (!text) {
+        std::cerr << "lagoontiller check: " << text.error().message << '\n';
+        return ExitStatus::Unavailable;
+    }
+    const auto faults = parsed.count("settings") > 0 ? settings::parse(*text).faults : document::check(*text);
+    if (parsed.count("json") > 0)
+        printJson(file, faults);
+    else
+        printText(file, faults);
+    return faults.empty() ? ExitStatus::Success : ExitStatus::FaultsFound;
+}
+
+} // namespace lagoontiller::command
--- a/source/command/Main.cpp
+++ b/source/command/Main.cpp
@@ -1,14 +1,64 @@
-#include <cxxopts.hpp>
+#include "command/CheckCommand.h"
+#include "command/ExitStatus.h"
+#include "command/HashKeyCommand.h"
+
+#include <algorithm>
+#include <array>
+#include <iomanip>
 #include <iostream>
+#include <string_view>
+
+namespace {
+
+using lagoontiller::command::ExitStatus;
+
+struct SubCommand {
+    std::string_view name;
+    std::string_view help;
+    int (*run)(int argc, const char* const* argv);
+};
+
+constexpr std::array subCommands {
+    SubCommand { "check", "List every fault of a document or settings file", lagoontiller::command::runCheck },
+    SubCommand { "hash-key", "Print the salt and hash lines of a new or given key", lagoontiller::command::runHashKey },
+};
+
+void printHelp(std::ostream& stream)
+{
+    constexpr int nameWidth = 12;
+    stream << "Scheduler for agent programs\n\nUsage: lagoontiller COMMAND [OPTIONS]\n\nCommands:\n";
+    for (const auto& each : subCommands)
+        stream << "  " << std::left << std::setw(nameWidth) << each.name << each.help << '\n';
+    stream << "\nOptions:\n  --help      Show this help, or the help of a command after its name\n"
+              "  --version   Show the version\n";
+}
+
+int runSubCommand(std::string_view name, int argc, const char* const* argv)
+{
+    const auto* const found = std::find_if(
+        subCommands.begin(), subCommands.end(), [name](const SubCommand& each) { return each.name == name; });
+    if (found != subCommands.end())
+        return found->run(argc, argv);
+    std::cerr << "lagoontiller: unknown command \"" << name << "\"\nTry \"lagoontiller --help\".\n";
+    return ExitStatus::Usage;
+}
+
+} // namespace
 
 int main(int argc, char** argv)
 {
-    cxxopts::Options options("lagoontiller", "Scheduler for agent programs");
-    options.add_options()("h,help", "Show this help")("version", "Show the version");
-    const auto parsed = options.parse(argc, argv);
-    if (parsed.count("version") > 0)
+    const std::string_view first = argc > 1 ? argv[1] : "";
+    if (first.empty()) {
+        printHelp(std::cerr);
+        return ExitStatus::Usage;
+    }
+    if (first == "--help" || first == "-h") {
+        printHelp(std::cout);
+        return ExitStatus::Success;
+    }
+    if (first == "--version") {
         std::cout << "lagoontiller " << LAGOONTILLER_VERSION << '\n';
-    else
-        std::cout << options.help();
-    return 0;
+        return ExitStatus::Success;
+    }
+    return runSubCommand(first, argc - 1, argv + 1);
 }
--- /dev/null
+++ b/source/command/ReadFile.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "core/Error.h"
+
+#include <string>
+
+namespace lagoontiller::command {
+
+/// \brief The bytes of a file; `-` stands for standard input. Reads at most one byte more than `maximumBytes`.
+[[nodiscard]] core::Expected<std::string> readFile(const std::string& path, std::size_t maximumBytes);
+
+} // namespace lagoontiller::command
--- /dev/null
+++ b/source/document/Acceptance.cpp
@@ -0,0 +1,195 @@
+#include "document/Acceptance.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lagoontiller::document {
+
+Acceptance::Acceptance(AcceptanceRequest request)
+    : request(std::move(request))
+    , next(ReadRow { std::string(currentRowKey) })
+{
+    auto parsed = parse(this->request.text);
+    this->document = std::move(parsed.document);
+    if (!this->document) {
+        const auto count = std::to_string(parsed.faults.size());
+        this->finish(Refused { core::Error(core::ResultCode::DocumentFault, "the document has " + count + " faults"),
+            std::move(parsed.faults) });
+    }
+}
+
+bool Acceptance::isFinished() const noexcept
+{
+    return this->state == State::Finished;
+}
+
+void Acceptance::onRow(const std::optional<tables::Row>& row)
+{
+    switch (this->state) {
+    case State::ReadingCurrent:
+        return this->onCurrent(row);
+    case State::ReadingBase:
+        return this->onBase(row);
+    case State::ReadingWinner:
+        return this->onWinner(row);
+    case State::ReadingBack:
+        return this->onReadBack(row);
+    case State::Writing:
+    case State::Finished:
+        return;
+    }
+}
+
+void Acceptance::onReadFailed()
+{
+    // The step stays the same: the driver repeats the read.
+    if (!this->isFinished())
+        (void)this->mayContinue();
+}
+
+void Acceptance::onReply(const tables::TransactionReply& reply)
+{
+    if (this->state != State::Writing)
+        return;
+    if (reply.committed)
+        return this->accept();
+    // An earlier attempt with a lost reply may be the reason for the failed condition, so the row decides.
+    this->replyWasLost = false;
+    this->readRow(State::ReadingBack, versionRowKey(this->newVersion()));
+}
+
+void Acceptance::onReplyLost()
+{
+    if (this->state != State::Writing || !this->mayContinue())
+        return;
+    this->replyWasLost = true;
+    this->readRow(State::ReadingBack, versionRowKey(this->newVersion()));
+}
+
+void Acceptance::onCurrent(const std::optional<tables::Row>& row)
+{
+    this->currentRowVersion = row ? row->version : 0;
+    this->currentVersion = 0;
+    if (row) {
+        const auto current = decodeCurrentRow(row->value);
+        if (!current)
+            return this->refuse(current.error().code, current.error().message);
+        this->currentVersion = current->version;
+    }
+    if (this->request.base > this->currentVersion) {
+        return this->refuse(core::ResultCode::InvalidField,
+            "base version " + std::to_string(this->request.base) + " does not exist; the current version is "
+                + std::to_string(this->currentVersion));
+    }
+    if (this->request.base == 0)
+        return this->onBase(std::nullopt);
+    this->readRow(State::ReadingBase, versionRowKey(this->request.base));
+}
+
+void Acceptance::onBase(const std::optional<tables::Row>& row)
+{
+    this->baseValues.clear();
+    if (row) {
+        const auto base = decodeVersionRow(row->value);
+        if (!base)
+            return this->refuse(base.error().code, base.error().message);
+        this->baseValues = canonicalValues(base->text);
+    }
+    this->changes = difference(this->baseValues, this->document->values());
+    if (this->currentVersion == this->request.base)
+        return this->write();
+    this->readRow(State::ReadingWinner, versionRowKey(this->currentVersion));
+}
+
+void Acceptance::onWinner(const std::optional<tables::Row>& row)
+{
+    const auto winner = row ? decodeVersionRow(row->value)
+                            : core::failure(core::ResultCode::Internal, "the row of the current version is missing");
+    if (!winner)
+        return this->refuse(winner.error().code, winner.error().message);
+    const auto values = canonicalValues(winner->text);
+    this->finish(LostRace { .currentVersion = this->currentVersion,
+        .currentText = winner->text,
+        .currentAuthor = winner->author,
+        .winner = difference(this->baseValues, values),
+        .merge = merge(this->baseValues, this->document->values(), values) });
+}
+
+void Acceptance::onReadBack(const std::optional<tables::Row>& row)
+{
+    if (row) {
+        const auto written = decodeVersionRow(row->value);
+        if (!written)
+            return this->refuse(written.error().code, written.error().message, core::RunState::MayHaveRun);
+        if (written->acceptanceId == this->request.acceptanceId)
+            return this->accept();
+        return this->readRow(State::ReadingCurrent, std::string(currentRowKey));
+    }
+    if (this->replyWasLost)
+        return this->write();
+    // The row of `document/current` changed without a new version, for example when a row was restored by hand.
+    if (this->mayContinue())
+        this->readRow(State::ReadingCurrent, std::string(currentRowKey));
+}
+
+void Acceptance::write()
+{
+    const VersionRow version {
+        .version = this->newVersion(),
+        .base = this->request.base,
+        .text = this->request.text,
+        .author = this->request.author,
+        .unixMs = this->request.unixMs,
+        .acceptanceId = this->request.acceptanceId,
+        .differenceJson = toJson(this->changes).dump(),
+    };
+    const auto key = versionRowKey(version.version);
+    tables::Transaction transaction;
+    transaction.token = this->request.acceptanceId;
+    transaction.conditions = { { std::string(currentRowKey), this->currentRowVersion }, { key, 0 } };
+    transaction.puts = {
+        { std::string(currentRowKey), encode(CurrentRow { version.version, version.acceptanceId }) },
+        { key, encode(version) },
+    };
+    this->mayHaveWritten = true;
+    this->state = State::Writing;
+    this->next = WriteRows { std::move(transaction) };
+}
+
+void Acceptance::accept()
+{
+    this->finish(Accepted { this->newVersion(), this->document, this->changes });
+}
+
+bool Acceptance::mayContinue()
+{
+    ++this->failureCount;
+    if (this->failureCount < maximumFailures)
+        return true;
+    if (this->mayHaveWritten) {
+        this->refuse(core::ResultCode::DocumentOutcomeUnknown,
+            "the store does not tell whether version " + std::to_string(this->newVersion()) + " was accepted",
+            core::RunState::MayHaveRun);
+    } else {
+        this->refuse(core::ResultCode::StoreUnavailable, "the table service does not answer");
+    }
+    return false;
+}
+
+void Acceptance::readRow(State newState, std::string key)
+{
+    this->state = newState;
+    this->next = ReadRow { std::move(key) };
+}
+
+void Acceptance::finish(Step result)
+{
+    this->state = State::Finished;
+    this->next = std::move(result);
+}
+
+void Acceptance::refuse(core::ResultCode code, std::string message, core::RunState ran)
+{
+    this->finish(Refused { core::Error(code, std::move(message), ran), {} });
+}
+
+} // namespace lagoontiller::document
--- /dev/null
+++ b/source/document/CrossCheck.cpp
@@ -0,0 +1,193 @@
+#include "document/Check.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace lagoontiller::document {
+
+namespace {
+
+constexpr std::int64_t millisecondsPerSecond = 1000;
+
+std::string quoted(std::string_view text)
+{
+    return '"' + std::string(text) + '"';
+}
+
+bool has(const Record& record, std::string_view key)
+{
+    return !record.isRefused(key) && !record.text(key).empty();
+}
+
+class CrossChecker {
+public:
+    CrossChecker(const std::vector<Record>& records, Faults& faults)
+        : records(records)
+        , faults(faults)
+    {
+    }
+
+    void check()
+    {
+        this->collectVms();
+        this->checkEntryVms();
+        this->smallestContext = this->smallest("model", "context_tokens");
+        this->smallestTimeout = this->smallest("service", "timeout_ms");
+        for (const auto& record : this->records) {
+            if (record.kind() == "vm")
+                this->checkVm(record);
+            if (record.kind() == "region")
+                this->checkRegion(record);
+            if (record.kind() == "service")
+                this->checkService(record);
+            if (record.kind() == "class")
+                this->checkClass(record);
+        }
+    }
+
+private:
+    void fault(const Record& record, std::string_view key, std::string problem, std::string allowed)
+    {
+        const auto* const value = record.find(key);
+        const int line = value == nullptr ? record.line() : value->line;
+        const int column = value == nullptr ? record.column() : value->column;
+        this->faults.push_back(
+            { line, column, record.heading(), std::string(key), std::move(problem), std::move(allowed), "" });
+    }
+
+    void collectVms()
+    {
+        std::map<std::string, std::string> regionOfZone;
+        for (const auto& record : this->records) {
+            if (record.kind() == "zone")
+                regionOfZone.emplace(record.name(), record.text("region"));
+        }
+        for (const auto& record : this->records) {
+            if (record.kind() != "vm")
+                continue;
+            const auto region = regionOfZone[record.text("zone")];
+            this->allVmsPlaced = this->allVmsPlaced && !region.empty();
+            this->regionsWithVms.insert(region);
+            this->hasEntry = this->hasEntry || record.text("role") == "entry";
+            if (has(record, "service"))
+                this->regionsOfService[record.text("service")].insert(region);
+        }
+    }
+
+    void checkEntryVms()
+    {
+        const auto isVm = [](const Record& record) { return record.kind() == "vm"; };
+        const auto first = std::find_if(this->records.begin(), this->records.end(), isVm);
+        if (first != this->records.end() && !this->hasEntry)
+            this->fault(*first, "", "no VM has the role entry", "at least one entry VM");
+    }
+
+    void checkVm(const Record& record)
+    {
+        const auto role = record.text("role");
+        const bool mentionsService = record.find("service") != nullptr;
+        if (role == "entry" && mentionsService)
+            this->fault(record, "service", "an entry VM runs no service", "the key only with role = endpoint");
+        if (role == "endpoint" && !mentionsService)
+            this->fault(record, "service", "the key is missing", "the service that the endpoint runs");
+        if (!has(record, "address"))
+            return;
+        const auto [first, isNew] = this->vmOfAddress.emplace(record.text("address"), &record);
+        if (!isNew) {
+            this->fault(record, "address",
+                record.text("address") + " is also the address of [" + first->second->heading() + "] in line "
+                    + std::to_string(first->second->line()),
+                "each address once");
+        }
+    }
+
+    void checkRegion(const Record& record)
+    {
+        if (this->allVmsPlaced && !this->regionsWithVms.contains(record.name()))
+            this->fault(record, "", "the region has no VM", "at least one VM in a zone of each region");
+    }
+
+    void checkService(const Record& record)
+    {
+        this->checkModels(record);
+        this->checkWeights(record);
+        const auto& regions = this->regionsOfService[record.name()];
+        if (regions.empty()) {
+            this->fault(record, "", "the service has no endpoint", "at least one VM with service = " + record.name());
+            return;
+        }
+        for (const auto& region : record.list("regions")) {
+            if (this->allVmsPlaced && !regions.contains(region)) {
+                this->fault(record, "regions", "no endpoint of the service in region " + quoted(region),
+                    "regions with a VM that has service = " + record.name());
+            }
+        }
+    }
+
+    void checkModels(const Record& record)
+    {
+        const bool isModelService = record.text("kind") == "model";
+        const bool mentionsModels = record.find("models") != nullptr;
+        if (isModelService && !mentionsModels)
+            this->fault(record, "models", "the key is missing", "at least one model with kind = model");
+        if (has(record, "kind") && !isModelService && mentionsModels)
+            this->fault(record, "models", "only model services offer models", "the key only with kind = model");
+    }
+
+    void checkWeights(const Record& record)
+    {
+        const bool known = !record.isRefused("latency_weight") && !record.isRefused("wasted_cache_weight");
+        if (known && record.decimal("latency_weight") == 0 && record.decimal("wasted_cache_weight") == 0)
+            this->fault(record, "latency_weight", "both weights are 0", "at least one weight above 0");
+    }
+
+    [[nodiscard]] std::optional<std::int64_t> smallest(std::string_view kind, std::string_view key) const
+    {
+        std::optional<std::int64_t> result;
+        for (const auto& record : this->records) {
+            if (record.kind() == kind && !record.isRefused(key))
+                result = std::min(result.value_or(record.integer(key)), record.integer(key));
+        }
+        return result;
+    }
+
+    // The size of a call is unknown until it runs. A call may fill the context of its model and may last as long as
+    // the time-out of its service: a budget below the smallest of them cannot be relied on for even one call.
+    void checkClass(const Record& record)
+    {
+        if (const auto context = this->smallestContext;
+            context && !record.isRefused("max_tokens") && record.integer("max_tokens") < *context) {
+            this->fault(record, "max_tokens",
+                "the budget of " + record.text("max_tokens") + " tokens is smaller than one call",
+                "at least the smallest context_tokens, " + std::to_string(*context));
+        }
+        if (const auto timeout = this->smallestTimeout; timeout && !record.isRefused("max_wall_seconds")
+            && record.integer("max_wall_seconds") * millisecondsPerSecond < *timeout) {
+            this->fault(record, "max_wall_seconds",
+                "the budget of " + record.text("max_wall_seconds") + " s is smaller than one call",
+                "at least the smallest timeout_ms, " + std::to_string(*timeout) + " ms");
+        }
+    }
+
+    const std::vector<Record>& records;
+    Faults& faults;
+    std::set<std::string> regionsWithVms;
+    std::map<std::string, std::set<std::string>> regionsOfService;
+    std::map<std::string, const Record*> vmOfAddress;
+    bool hasEntry = false;
+    // False when the region of a VM is unknown: then a region may have VMs that cannot be attributed to it.
+    bool allVmsPlaced = true;
+    std::optional<std::int64_t> smallestContext;
+    std::optional<std::int64_t> smallestTimeout;
+};
+
+} // namespace
+
+void checkAcrossSections(const std::vector<Record>& records, Faults& faults)
+{
+    CrossChecker(records, faults).check();
+}
+
+} // namespace lagoontiller::document
--- /dev/null
+++ b/source/document/Difference.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "document/Document.h"
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lagoontiller::document {
+
+enum class ChangeKind : int {
+    Added,
+    Removed,
+    Changed,
+};
+
+/// \brief One value that differs. An empty key stands for the section itself.
+///
+/// Holds the full values for `apply`; everything that is shown or stored uses `shownBefore` and `shownAfter`.
+class Change {
+public:
+    Change(ChangeKind kind, std::string section, std::string key, std::string before, std::string after)
+        : changeKind(kind)
+        , changedSection(std::move(section))
+        , changedKey(std::move(key))
+        , before(std::move(before))
+        , after(std::move(after))
+    {
+    }
+
+    [[nodiscard]] bool operator==(const Change&) const = default;
+
+    [[nodiscard]] ChangeKind kind() const noexcept { return this->changeKind; }
+    [[nodiscard]] const std::string& section() const noexcept { return this->changedSection; }
+    [[nodiscard]] const std::string& key() const noexcept { return this->changedKey; }
+    /// \brief The old value; salts and hashes of keys are cut to their first characters.
+    [[nodiscard]] std::string shownBefore() const;
+    /// \brief The new value; salts and hashes of keys are cut to their first characters.
+    [[nodiscard]] std::string shownAfter() const;
+    /// \brief The new value in full. It must not be shown.
+    [[nodiscard]] const std::string& fullAfter() const noexcept { return this->after; }
+
+private:
+    ChangeKind changeKind;
+    std::string changedSection;
+    std::string changedKey;
+    std::string before;
+    std::string after;
+};
+
+using Changes = std::vector<Change>;
+
+/// \brief Changes that lead from one document to the other, in the order of the schema and of names.
+[[nodiscard]] Changes difference(const std::vector<DocumentValue>& from, const std::vector<DocumentValue>& to);
+[[nodiscard]] Changes difference(const Document& from, const Document& to);
+
+/// \brief The values after the changes. Changes that do not fit are applied as far as they go.
+[[nodiscard]] std::vector<DocumentValue> apply(const std::vector<DocumentValue>& values, const Changes& changes);
+
+/// \brief Canonical values of a text. Refused values are left out, so that a text accepted by an earlier release can
+/// still be compared.
+[[nodiscard]] std::vector<DocumentValue> canonicalValues(std::string_view text);
+
+[[nodiscard]] std::string_view name(ChangeKind kind) noexcept;
+
+/// \brief One line: `added [section] key = new`, `removed [section] key = old` or `changed [section] key: old -> new`.
+[[nodiscard]] std::string format(const Change& change);
+
+/// \brief `[{"change","section","key","old","new"}]` with shown values.
+[[nodiscard]] nlohmann::ordered_json toJson(const Changes& changes);
+
+} // namespace lagoontiller::document
--- /dev/null
+++ b/source/document/IniText.cpp
@@ -0,0 +1,169 @@
+#include "document/IniText.h"
+
+#include "document/impl/Utf8.h"
+#include "document/impl/Words.h"
+
+#include <ini.h>
+#include <mutex>
+#include <optional>
+
+namespace lagoontiller::document {
+
+namespace {
+
+constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
+
+// inih reads lines of 200 bytes by default and reports the rest of a longer line as a second line.
+void configureInih()
+{
+    static std::once_flag once;
+    std::call_once(once, [] {
+        ini_use_stack = false;
+        ini_max_line = static_cast<int>(maximumLineBytes) + 3;
+        ini_initial_alloc = ini_max_line;
+    });
+}
+
+struct KeyAndValue {
+    std::string key;
+    std::string value;
+};
+
+int takeEntry(void* user, const char*, const char* key, const char* value)
+{
+    *static_cast<std::optional<KeyAndValue>*>(user) = KeyAndValue { key, value };
+    return 1;
+}
+
+std::optional<KeyAndValue> parseEntry(std::string_view line)
+{
+    std::optional<KeyAndValue> entry;
+    const int status = ini_parse_string(std::string(line).c_str(), takeEntry, &entry);
+    return status == 0 ? entry : std::nullopt;
+}
+
+class Reader {
+public:
+    IniText read(std::string_view text)
+    {
+        if (text.size() > maximumTextBytes) {
+            this->fault(1, "the text has " + std::to_string(text.size()) + " bytes",
+                "at most " + std::to_string(maximumTextBytes) + " bytes");
+            return std::move(this->result);
+        }
+        if (text.starts_with(byteOrderMark))
+            text.remove_prefix(byteOrderMark.size());
+        while (!text.empty() && !this->isFull()) {
+            const auto end = text.find('\n');
+            this->readLine(text.substr(0, end));
+            text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+        }
+        return std::move(this->result);
+    }
+
+private:
+    [[nodiscard]] bool isFull() const noexcept
+    {
+        return this->result.faults.size() >= maximumFaults || this->result.sections.size() > maximumSections;
+    }
+
+    void fault(int column, std::string problem, std::string allowed)
+    {
+        const auto section = this->result.sections.empty() ? std::string() : this->result.sections.back().heading();
+        this->result.faults.push_back({ this->line, column, section, "", std::move(problem), std::move(allowed), "" });
+    }
+
+    void readLine(std::string_view bytes)
+    {
+        ++this->line;
+        if (bytes.ends_with('\r'))
+            bytes.remove_suffix(1);
+        if (bytes.size() > maximumLineBytes) {
+            this->fault(1, "the line has " + std::to_string(bytes.size()) + " bytes",
+                "at most " + std::to_string(maximumLineBytes) + " bytes");
+            return;
+        }
+        if (const auto offset = firstInvalidCharacter(bytes)) {
+            this->fault(columnAt(bytes, *offset), "a byte that is not UTF-8 text", "UTF-8 without control characters");
+            return;
+        }
+        const auto content = trimmed(bytes);
+        if (content.empty() || content.front() == ';' || content.front() == '#')
+            return;
+        if (content.front() == '[')
+            this->readHeading(bytes);
+        else
+            this->readEntry(bytes);
+    }
+
+    void readHeading(std::string_view bytes)
+    {
+        const auto start = bytes.find('[');
+        const auto end = bytes.find(']', start);
+        const int column = columnAt(bytes, start);
+        if (end == std::string_view::npos) {
+            this->fault(column, "the heading has no closing bracket", "[KIND] or [KIND NAME]");
+            return;
+        }
+        const auto rest = trimmed(bytes.substr(end + 1));
+        if (!rest.empty() && rest.front() != ';' && rest.front() != '#')
+            this->fault(columnAt(bytes, end + 1), "text after the heading", "a comment that starts with ; or #");
+        const auto words = trimmed(bytes.substr(start + 1, end - start - 1));
+        const auto kind = words.substr(0, words.find_first_of(blanks));
+        const auto name = trimmed(words.substr(kind.size()));
+        if (this->result.sections.size() == maximumSections) {
+            this->fault(column, "too many sections", "at most " + std::to_string(maximumSections));
+        }
+        this->result.sections.push_back({ std::string(kind), std::string(name), this->line, column, {} });
+    }
+
+    void readEntry(std::string_view bytes)
+    {
+        const auto start = bytes.find_first_not_of(blanks);
+        const int column = columnAt(bytes, start);
+        auto entry = parseEntry(bytes);
+        if (!entry || entry->key.empty()) {
+            this->fault(column, "the line is neither a heading nor a key with a value", "key = value");
+            return;
+        }
+        const auto delimiter = bytes.find_first_of("=:");
+        if (trimmed(bytes.substr(0, delimiter)).size() > maximumKeyBytes) {
+            this->fault(column, "the key is too long", "at most " + std::to_string(maximumKeyBytes) + " bytes");
+            return;
+        }
+        if (this->result.sections.empty()) {
+            this->fault(column, "the key \"" + entry->key + "\" stands before the first section", "a heading first");
+            return;
+        }
+        const auto value = bytes.find_first_not_of(blanks, delimiter + 1);
+        const int valueColumn = columnAt(bytes, value == std::string_view::npos ? bytes.size() : value);
+        this->result.sections.back().entries.push_back(
+            { std::move(entry->key), std::move(entry->value), this->line, column, valueColumn });
+    }
+
+    IniText result;
+    int line = 0;
+};
+
+} // namespace
+
+std::string headingOf(std::string_view kind, std::string_view name)
+{
+    std::string heading(kind);
+    if (!name.empty())
+        heading.append(" ").append(name);
+    return heading;
+}
+
+std::string IniSection::heading() const
+{
+    return headingOf(this->kind, this->name);
+}
+
+IniText readIni(std::string_view text)
+{
+    configureInih();
+    return Reader().read(text);
+}
+
+} // namespace lagoontiller::document
--- /dev/null
+++ b/source/document/Merge.cpp
@@ -0,0 +1,89 @@
+#include "document/Merge.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace lagoontiller::document {
+
+namespace {
+
+// Finds the change of the other side that a change conflicts with.
+class ConflictIndex {
+public:
+    explicit ConflictIndex(const Changes& changes)
+    {
+        for (const auto& change : changes) {
+            this->byPlace.emplace(std::pair(change.section(), change.key()), &change);
+            if (change.kind() != ChangeKind::Removed)
+                this->firstEditOfSection.emplace(change.section(), &change);
+        }
+        // Removing an optional key also edits the section, but only while the section stays.
+        for (const auto& change : changes) {
+            if (change.kind() == ChangeKind::Removed && this->at(change.section(), "") == nullptr)
+                this->firstEditOfSection.emplace(change.section(), &change);
+        }
+    }
+
+    // A null result with `agreed` set means that the other side made the same change.
+    [[nodiscard]] const Change* conflictOf(const Change& change, const ConflictIndex& own, bool& agreed) const
+    {
+        const auto* const same = this->at(change.section(), change.key());
+        agreed = same != nullptr && *same == change;
+        if (agreed)
+            return nullptr;
+        if (same != nullptr)
+            return same;
+        if (this->removesSection(change.section()) && !own.removesSection(change.section()))
+            return this->at(change.section(), "");
+        if (own.removesSection(change.section()) && !this->removesSection(change.section()))
+            return this->editOf(change.section());
+        return nullptr;
+    }
+
+private:
+    [[nodiscard]] const Change* at(const std::string& section, const std::string& key) const
+    {
+        const auto found = this->byPlace.find(std::pair(section, key));
+        return found == this->byPlace.end() ? nullptr : found->second;
+    }
+
+    [[nodiscard]] bool removesSection(const std::string& section) const
+    {
+        const auto* const change = this->at(section, "");
+        return change != nullptr && change->kind() == ChangeKind::Removed;
+    }
+
+    [[nodiscard]] const Change* editOf(const std::string& section) const
+    {
+        const auto found = this->firstEditOfSection.find(section);
+        return found == this->firstEditOfSection.end() ? nullptr : found->second;
+    }
+
+    std::map<std::pair<std::string, std::string>, const Change*> byPlace;
+    std::map<std::string, const Change*> firstEditOfSection;
+};
+
+} // namespace
+
+Merge merge(const std::vector<DocumentValue>& base, const std::vector<DocumentValue>& mine,
+    const std::vector<DocumentValue>& theirs)
+{
+    const auto myChanges = difference(base, mine);
+    const auto theirChanges = difference(base, theirs);
+    const ConflictIndex myIndex(myChanges);
+    const ConflictIndex theirIndex(theirChanges);
+    Merge result;
+    for (const auto& change : myChanges) {
+        bool agreed = false;
+        const auto* const other = theirIndex.conflictOf(change, myIndex, agreed);
+        if (other != nullptr)
+            result.conflicts.push_back({ change, *other });
+        else if (!agreed)
+            result.kept.push_back(change);
+    }
+    result.values = apply(theirs, result.kept);
+    return result;
+}
+
+} // namespace lagoontiller::document
--- /dev/null
+++ b/source/settings/Settings.cpp
@@ -0,0 +1,125 @@
+#include "settings/Settings.h"
+
+#include "document/IniText.h"
+#include "document/Record.h"
+#include "document/SchemaCheck.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <stdexcept>
+#include <zmq.h>
+
+namespace lagoontiller::settings {
+
+namespace {
+
+using document::Address;
+using document::Record;
+
+constexpr std::size_t z85KeySize = 41; // 40 characters and the terminating zero of the C interface.
+
+Address addressOf(const std::string& text)
+{
+    const auto address = document::parseAddress(text);
+    if (!address)
+        throw std::logic_error("an address passed the check but cannot be read");
+    return *address;
+}
+
+std::vector<Address> addressesOf(const std::vector<std::string>& texts)
+{
+    std::vector<Address> addresses;
+    std::transform(texts.begin(), texts.end(), std::back_inserter(addresses), addressOf);
+    return addresses;
+}
+
+std::uint32_t countOf(const Record& record, std::string_view key)
+{
+    return static_cast<std::uint32_t>(record.integer(key));
+}
+
+core::LogLevel logLevelOf(const std::string& word)
+{
+    static const std::map<std::string, core::LogLevel> levels { { "debug", core::LogLevel::Debug },
+        { "info", core::LogLevel::Info }, { "warning", core::LogLevel::Warning }, { "error", core::LogLevel::Error } };
+    return levels.at(word);
+}
+
+Settings settingsOf(const Record& node, const Record& platform, const Record& deployment, const Record& keys)
+{
+    return {
+        .nodeName = node.text("name"),
+        .zone = node.text("zone"),
+        .region = node.text("region"),
+        .callerAddress = addressOf(node.text("caller_address")),
+        .operatorAddress = addressOf(node.text("operator_address")),
+        .nodeAddress = addressOf(node.text("node_address")),
+        .seeds = addressesOf(node.list("seeds")),
+        .tableAddress = addressOf(platform.text("table_address")),
+        .objectAddress = addressOf(platform.text("object_address")),
+        .vmListAddress = addressOf(platform.text("vm_list_address")),
+        .weightStoreAddress = addressOf(platform.text("weight_store_address")),
+        .partitions = countOf(deployment, "partitions"),
+        .storeWritesPerSecond = countOf(platform, "store_writes_per_second"),
+        .commitStreams = countOf(deployment, "commit_streams"),
+        .trafficThreads = countOf(node, "traffic_threads"),
+        .logLevel = logLevelOf(node.text("log_level")),
+        .deploymentPublicKey = keys.text("deployment_public_key"),
+        .deploymentSecretKey = keys.text("deployment_secret_key"),
+        .operatorKey = { keys.text("operator_key_salt"), keys.text("operator_key_hash") },
+    };
+}
+
+void checkOwnAddresses(const Record& node, document::Faults& faults)
+{
+    std::map<std::string, std::string_view> firstKeys;
+    for (const std::string_view key : { "caller_address", "operator_address", "node_address" }) {
+        const auto* const value = node.find(key);
+        if (value == nullptr || !value->canonical)
+            continue;
+        const auto [first, isNew] = firstKeys.emplace(*value->canonical, key);
+        if (!isNew) {
+            faults.push_back({ value->line, value->column, node.heading(), std::string(key),
+                *value->canonical + " is also " + std::string(first->second), "three different addresses", "" });
+        }
+    }
+}
+
+// A public key of another pair would be noticed only when no other node accepts the connection.
+void checkKeyPair(const Record& keys, document::Faults& faults)
+{
+    const auto* const publicKey = keys.find("deployment_public_key");
+    const auto* const secretKey = keys.find("deployment_secret_key");
+    if (publicKey == nullptr || secretKey == nullptr || !publicKey->canonical || !secretKey->canonical)
+        return;
+    std::array<char, z85KeySize> derived {};
+    const bool valid = zmq_curve_public(derived.data(), secretKey->canonical->c_str()) == 0;
+    if (!valid || *publicKey->canonical != derived.data()) {
+        faults.push_back({ publicKey->line, publicKey->column, keys.heading(), "deployment_public_key",
+            "the key does not belong to deployment_secret_key",
+            "the two keys of one pair, as printed by lagoontiller hash-key --deployment", "" });
+    }
+}
+
+} // namespace
+
+ParseResult parse(std::string_view text)
+{
+    const auto ini = document::readIni(text);
+    auto faults = ini.faults;
+    const auto records = document::checkSchema(settingsSchema(), ini, faults);
+    const auto section
+        = [&records](std::string_view kind) { return document::firstOfKind(records, *settingsSchema().find(kind)); };
+    const auto node = section("node");
+    const auto keys = section("keys");
+    checkOwnAddresses(node, faults);
+    checkKeyPair(keys, faults);
+    document::sortByPosition(faults);
+    if (!faults.empty())
+        return { nullptr, std::move(faults) };
+    const auto settings = settingsOf(node, section("platform"), section("deployment"), keys);
+    return { std::make_shared<const Settings>(settings), {} };
+}
+
+} // namespace lagoontiller::settings
--- /dev/null
+++ b/source/settings/SettingsSchema.cpp
@@ -0,0 +1,103 @@
+#include "settings/Settings.h"
+
+#include <array>
+
+namespace lagoontiller::settings {
+
+namespace {
+
+using document::Field;
+using document::SectionRule;
+using document::ValueType;
+using document::Visibility;
+using enum document::Occurrence;
+using enum document::Presence;
+
+constexpr Field address(std::string_view key, std::string_view help)
+{
+    return { .key = key, .type = ValueType::Address, .presence = Required, .help = help };
+}
+
+constexpr Field count(std::string_view key, std::string_view defaultValue, double maximum, std::string_view help)
+{
+    return { .key = key,
+        .type = ValueType::Integer,
+        .defaultValue = defaultValue,
+        .minimum = 1,
+        .maximum = maximum,
+        .help = help };
+}
+
+constexpr std::array nodeFields {
+    Field { .key = "name", .type = ValueType::Name, .presence = Required, .help = "Name of the VM in the document." },
+    Field { .key = "zone", .type = ValueType::Name, .presence = Required, .help = "Availability zone of this VM." },
+    Field { .key = "region", .type = ValueType::Name, .presence = Required, .help = "Region of this VM." },
+    address("caller_address", "Where callers connect (HTTP)."),
+    address("operator_address", "Where the console and the operator API are served (HTTP)."),
+    address("node_address", "Where other nodes connect (ZeroMQ)."),
+    Field {
+        .key = "seeds", .type = ValueType::AddressList, .help = "Node addresses that a starting node contacts first." },
+    count("traffic_threads", "2", 64, "Threads that carry the connections of callers."),
+    Field { .key = "log_level",
+        .type = ValueType::Choice,
+        .defaultValue = "info",
+        .choices = "debug|info|warning|error",
+        .help = "Events below this level are not logged." },
+};
+
+constexpr std::array platformFields {
+    address("table_address", "Transactional table service."),
+    address("object_address", "Object store."),
+    address("vm_list_address", "VM list."),
+    address("weight_store_address", "Weight store."),
+    count("store_writes_per_second", "200", 100'000, "Write budget of the whole deployment."),
+};
+
+constexpr std::array deploymentFields {
+    count("partitions", "256", 65'536, "Partitions of the program space; must be equal on all nodes."),
+    count("commit_streams", "12", 1024, "Commit streams of the whole deployment."),
+};
+
+constexpr std::array keysFields {
+    Field { .key = "deployment_public_key",
+        .type = ValueType::Z85Key,
+        .presence = Required,
+        .help = "CURVE public key of the deployment; the same on all nodes." },
+    Field { .key = "deployment_secret_key",
+        .type = ValueType::Z85Key,
+        .presence = Required,
+        .help = "CURVE secret key of the deployment; the same on all nodes.",
+        .visibility = Visibility::Shortened },
+    Field { .key = "operator_key_salt",
+        .type = ValueType::Hex,
+        .presence = Required,
+        .minimum = 16,
+        .maximum = 64,
+        .help = "Salt of the operator key, as printed by lagoontiller hash-key.",
+        .visibility = Visibility::Shortened },
+    Field { .key = "operator_key_hash",
+        .type = ValueType::Hex,
+        .presence = Required,
+        .minimum = 32,
+        .maximum = 32,
+        .help = "Hash of the operator key, as printed by lagoontiller hash-key.",
+        .visibility = Visibility::Shortened },
+};
+
+constexpr std::array rules {
+    SectionRule { "node", Once, true, "This process.", nodeFields },
+    SectionRule { "platform", Once, true, "Services of the platform.", platformFields },
+    SectionRule { "deployment", AtMostOnce, true, "Numbers that all nodes must share.", deploymentFields },
+    SectionRule { "keys", Once, true, "Keys between nodes and of operators.", keysFields },
+};
+
+constexpr document::Schema schema { rules };
+
+} // namespace
+
+const document::Schema& settingsSchema() noexcept
+{
+    return schema;
+}
+
+} // namespace lagoontiller::settings
