--- /dev/null
+++ b/standins/Main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
