--- a/bench/fakes/EngineModel.cpp
+++ b/bench/fakes/EngineModel.cpp
@@ -148,8 +148,8 @@
 {
     auto& highest = this->fences[order.kind];
     if (this->values.checksFence && order.fence < highest)
-        return core::failure(ResultCode::StaleFence, "fence " + std::to_string(order.fence) + " is older than "
-                + std::to_string(highest));
+        return core::failure(ResultCode::StaleFence,
+            "fence " + std::to_string(order.fence) + " is older than " + std::to_string(highest));
     highest = std::max(highest, order.fence);
     this->acceptedOrders.push_back(order);
     if (order.kind == "load_model" && !this->values.models.empty() && !this->values.models.contains(order.name))
@@ -262,8 +262,8 @@
 
 void EngineModel::sample(core::TimePoint now)
 {
-    this->loadHistory.add(
-        { now, this->running.size(), this->waiting.size(), this->used(), this->values.kvCapacity }, this->values.loadLag);
+    this->loadHistory.add({ now, this->running.size(), this->waiting.size(), this->used(), this->values.kvCapacity },
+        this->values.loadLag);
 }
 
 core::Duration EngineModel::decodeTime() const
--- a/bench/fakes/EngineModel.h
+++ b/bench/fakes/EngineModel.h
@@ -95,8 +95,8 @@
 public:
     explicit EngineModel(EngineSettings settings);
 
-    /// \brief Queues a request. Fails for a duplicate id, an unknown model, a prompt larger than the memory, and a resume
-    /// text that is no beginning of the answer.
+    /// \brief Queues a request. Fails for a duplicate id, an unknown model, a prompt larger than the memory, and a
+    /// resume text that is no beginning of the answer.
     [[nodiscard]] core::Expected<void> submit(const EngineRequest& request, core::TimePoint now);
     /// \brief Runs the engine up to `now` and returns what happened, in order.
     [[nodiscard]] std::vector<EngineEvent> advance(core::TimePoint now);
--- a/bench/fakes/EngineText.cpp
+++ b/bench/fakes/EngineText.cpp
@@ -12,9 +12,10 @@
 constexpr std::uint64_t minimumWords = 24;
 constexpr std::uint64_t additionalWords = 64;
 
-constexpr std::array<const char*, 32> words { "lamp", "stone", "north", "record", "line", "battery", "letter", "granite",
-    "exit", "minutes", "proof", "stairwell", "name", "fitting", "date", "verse", "passed", "bronze", "corridor", "order",
-    "duration", "serif", "charge", "panel", "margin", "inspector", "plaque", "signed", "relay", "copy", "ready", "moss" };
+constexpr std::array<const char*, 32> words { "lamp", "stone", "north", "record", "line", "battery", "letter",
+    "granite", "exit", "minutes", "proof", "stairwell", "name", "fitting", "date", "verse", "passed", "bronze",
+    "corridor", "order", "duration", "serif", "charge", "panel", "margin", "inspector", "plaque", "signed", "relay",
+    "copy", "ready", "moss" };
 
 } // namespace
 
--- a/bench/fakes/EngineText.h
+++ b/bench/fakes/EngineText.h
@@ -13,7 +13,8 @@
 
 /// \brief Serialises the role and the content of each message; other fields and the layout of the JSON do not matter.
 ///
-/// The serialisation of a longer conversation starts with that of its beginning, so that it can be used for prefix caches.
+/// The serialisation of a longer conversation starts with that of its beginning, so that it can be used for prefix
+/// caches.
 [[nodiscard]] std::string serialisePrompt(const nlohmann::json& messages);
 
 /// \brief Serialises one message as serialisePrompt() does.
@@ -24,8 +25,9 @@
 
 /// \brief The tokens of the answer to a serialised prompt.
 ///
-/// The answer depends on the prompt only: it has 24 to 87 words, cut to `maxTokens` unless that is 0. Each token after the
-/// first one starts with a blank. A word carries its index, so that a lost or doubled token changes the text visibly.
+/// The answer depends on the prompt only: it has 24 to 87 words, cut to `maxTokens` unless that is 0. Each token after
+/// the first one starts with a blank. A word carries its index, so that a lost or doubled token changes the text
+/// visibly.
 [[nodiscard]] std::vector<std::string> answerTokens(std::string_view serialised, std::uint64_t maxTokens);
 
 /// \brief The whole answer to `messages`.
--- a/bench/fakes/FaultPlan.cpp
+++ b/bench/fakes/FaultPlan.cpp
@@ -74,8 +74,9 @@
         return std::nullopt;
     const auto kind = kinds().find(name);
     if (kind == kinds().end())
-        return core::failure(core::ResultCode::InvalidField, "fault is one of down, slow, lose_reply, hang, crash_on, "
-                                                             "silent, none");
+        return core::failure(core::ResultCode::InvalidField,
+            "fault is one of down, slow, lose_reply, hang, crash_on, "
+            "silent, none");
     Fault fault;
     fault.kind = kind->second;
     if (body.contains("count"))
@@ -96,9 +97,8 @@
 
 void FaultPlan::set(const Fault& fault, core::TimePoint now)
 {
-    std::erase_if(this->active, [&fault](const Active& entry) {
-        return entry.fault.kind == fault.kind && entry.fault.path == fault.path;
-    });
+    std::erase_if(this->active,
+        [&fault](const Active& entry) { return entry.fault.kind == fault.kind && entry.fault.path == fault.path; });
     Active entry { fault, std::nullopt };
     if (fault.duration && fault.kind != FaultKind::CrashOn)
         entry.until = now + *fault.duration;
@@ -133,9 +133,8 @@
 
 void FaultPlan::expire(core::TimePoint now)
 {
-    std::erase_if(this->active, [now](const Active& entry) {
-        return (entry.until && *entry.until <= now) || entry.fault.count == 0U;
-    });
+    std::erase_if(this->active,
+        [now](const Active& entry) { return (entry.until && *entry.until <= now) || entry.fault.count == 0U; });
 }
 
 } // namespace lagoontiller::fakes
--- a/standins/HttpServer.cpp
+++ b/standins/HttpServer.cpp
@@ -112,8 +112,8 @@
         if (!this->active)
             return;
         this->active = false;
-        // RESTinio closes a connection only after an answer. Taking over the socket, as a WebSocket upgrade does, is its
-        // one way to close without answering.
+        // RESTinio closes a connection only after an answer. Taking over the socket, as a WebSocket upgrade does, is
+        // its one way to close without answering.
         if (auto* own = dynamic_cast<Connection*>(this->connection.get()); own != nullptr) {
             auto internals = own->move_upgrade_internals();
             asio::error_code ignored;
@@ -171,18 +171,18 @@
 
     void open()
     {
-        this->server = std::make_unique<Server>(restinio::external_io_context(this->loop.context()),
-            [this](auto& settings) {
-                settings.address(this->address.first)
-                    .port(this->address.second)
-                    .read_next_http_message_timelimit(connectionLimit)
-                    .handle_request_timeout(connectionLimit)
-                    .write_http_response_timelimit(connectionLimit)
-                    .buffer_size(16 * 1024)
-                    .request_handler([weak = this->weak_from_this()](const restinio::request_handle_t& request) {
-                        return accept(weak, request);
-                    });
-            });
+        this->server
+            = std::make_unique<Server>(restinio::external_io_context(this->loop.context()), [this](auto& settings) {
+                  settings.address(this->address.first)
+                      .port(this->address.second)
+                      .read_next_http_message_timelimit(connectionLimit)
+                      .handle_request_timeout(connectionLimit)
+                      .write_http_response_timelimit(connectionLimit)
+                      .buffer_size(16 * 1024)
+                      .request_handler([weak = this->weak_from_this()](const restinio::request_handle_t& request) {
+                          return accept(weak, request);
+                      });
+              });
         this->server->open_sync();
     }
 
