--- /dev/null
+++ b/source/state/PartitionOwnership.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "state/Backoff.h"
+#include "state/OwnershipTypes.h"
+#include "state/Partitions.h"
+#include "state/Rendezvous.h"
+#include "state/impl/LogReferences.h"
+#include "state/impl/Recovery.h"
+#include "state/impl/RowWriter.h"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace lagoontiller::state {
+
+/// \brief Ownership of partitions by this node: scans of the ownership rows, takeovers, recovery, snapshots, hand-over.
+///
+/// Operation ids of its effects are its own: replies to a commit stream's operations must not be passed here.
+class PartitionOwnership {
+public:
+    PartitionOwnership(OwnershipSettings settings, Partitions partitions, Generator generator, core::TimePoint now);
+
+    /// \brief Living nodes by membership, this node included.
+    void setNodes(std::vector<LivingNode> nodes, core::TimePoint now);
+    /// \brief A call waits for this partition: its recovery comes first.
+    void prioritise(core::PartitionId partition);
+    /// \brief `nextSequence` is the commit stream's position after all of its effects so far were handled.
+    [[nodiscard]] OwnershipEffects tick(core::TimePoint now, std::uint64_t nextSequence);
+
+    [[nodiscard]] OwnershipEffects onTransaction(
+        OperationId operation, const TransactionResult& result, core::TimePoint now);
+    [[nodiscard]] OwnershipEffects onRow(OperationId operation, const RowResult& result, core::TimePoint now);
+    [[nodiscard]] OwnershipEffects onRows(OperationId operation, const RowsResult& result, core::TimePoint now);
+    [[nodiscard]] OwnershipEffects onObject(OperationId operation, const ObjectResult& result, core::TimePoint now);
+    [[nodiscard]] OwnershipEffects onObjectWritten(
+        OperationId operation, const WriteResult& result, core::TimePoint now);
+
+    /// \brief Answers SnapshotDue with the image of all entries committed before `nextSequence` of the stream.
+    void snapshot(core::PartitionId partition, core::Epoch epoch, const std::vector<records::Entry>& image,
+        std::uint64_t nextSequence);
+    /// \brief Starts the hand-over of an owned partition without pending records. Drop it from the commit stream first.
+    /// \return false when it is not owned.
+    [[nodiscard]] bool handOver(core::PartitionId partition, const std::string& successor);
+    /// \brief The commit stream saw another epoch in the partition's row.
+    [[nodiscard]] OwnershipEffects onPartitionLost(core::PartitionId partition, core::Epoch heldEpoch);
+
+    [[nodiscard]] PartitionPhase phase(core::PartitionId partition) const;
+    /// \brief Node that owns the partition by the latest rows; empty when unknown.
+    [[nodiscard]] std::string ownerOf(core::PartitionId partition) const;
+    /// \brief Owned partitions that another living node is preferred for, with that node.
+    [[nodiscard]] std::vector<std::pair<core::PartitionId, std::string>> misplaced() const;
+    /// \brief False until the first complete scan of the ownership rows.
+    [[nodiscard]] bool isScanned() const noexcept { return this->scanned; }
+    /// \brief Transactions and objects sent.
+    [[nodiscard]] std::uint64_t storeWrites() const noexcept { return this->writes; }
+    [[nodiscard]] std::uint64_t storeReads() const noexcept { return this->reads + this->recovery.reads(); }
+
+private:
+    struct Known {
+        tables::RowVersion version = 0;
+        records::OwnerRow row;
+    };
+    struct Own {
+        PartitionPhase phase = PartitionPhase::Taking;
+        core::Epoch epoch = 0;
+        core::TimePoint snapshotAt;
+    };
+    struct Takeover {
+        OperationId operation = 0;
+        std::map<core::PartitionId, Known> rows;
+    };
+    struct Scan {
+        OperationId operation = 0;
+        core::TimePoint resumeAt;
+        std::string after;
+    };
+
+    [[nodiscard]] bool isCandidate(core::PartitionId partition) const;
+    [[nodiscard]] const LivingNode* findNode(const std::string& name) const;
+    void tickScan(core::TimePoint now, OwnershipEffects& effects);
+    void tickTakeover(core::TimePoint now, OwnershipEffects& effects);
+    void tickRows(core::TimePoint now, OwnershipEffects& effects);
+    void tickSnapshots(core::TimePoint now, OwnershipEffects& effects);
+    [[nodiscard]] records::OwnerRow rowAfterTakeover(core::PartitionId partition) const;
+    void onScanPage(const RowsResult& result, core::TimePoint now, OwnershipEffects& effects);
+    void onTakeover(const TransactionResult& result, core::TimePoint now, OwnershipEffects& effects);
+    void startRecovery(core::PartitionId partition, const Known& previous, const Known& taken);
+    void learnRow(core::PartitionId partition, Known known, OwnershipEffects& effects);
+    void endOwnership(core::PartitionId partition, bool handedOver, OwnershipEffects& effects);
+    void onRowWrite(const impl::RowWriteOutcome& outcome, core::TimePoint now, OwnershipEffects& effects);
+    void collect(impl::RecoveryEffects fromRecovery, core::TimePoint now, OwnershipEffects& effects);
+    void scanSoon(core::TimePoint now);
+    [[nodiscard]] OperationId nextOperation() { return ++this->lastOperation; }
+
+    OwnershipSettings settings;
+    Partitions partitions;
+    Generator generator;
+    std::vector<LivingNode> nodes;
+    std::map<core::PartitionId, Known> rows;
+    std::map<core::PartitionId, Own> own;
+    bool scanned = false;
+    Scan scan;
+    Backoff scanBackoff;
+    std::optional<Takeover> takeover;
+    Backoff takeoverBackoff;
+    /// \brief Set when the result of a takeover is unknown: no other starts before a scan shows the rows.
+    bool takeoverInDoubt = false;
+    std::optional<core::TimePoint> takeoverFrom;
+    core::TimePoint nextSnapshot;
+    bool snapshotAsked = false;
+    impl::Recovery recovery;
+    impl::RowWriter writer;
+    impl::LogReferences references;
+    std::uint64_t sequence = 1;
+    OperationId lastOperation = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t reads = 0;
+};
+
+} // namespace lagoontiller::state
--- /dev/null
+++ b/source/state/Partitions.cpp
@@ -0,0 +1,57 @@
+#include "state/Partitions.h"
+
+#include "core/Hash.h"
+
+#include <algorithm>
+
+namespace lagoontiller::state {
+
+std::string_view rootId(std::string_view program) noexcept
+{
+    return program.substr(0, program.find('~'));
+}
+
+core::ProgramKey rootOf(const core::ProgramKey& program)
+{
+    return { program.customer, std::string(rootId(program.program)) };
+}
+
+Partitions::Partitions(std::uint32_t count, std::vector<std::string> regions)
+    : count(std::max<std::uint32_t>(count, 1))
+    , regions(std::move(regions))
+{
+    std::sort(this->regions.begin(), this->regions.end());
+}
+
+core::PartitionId Partitions::of(const core::ProgramKey& program) const noexcept
+{
+    const auto root = rootId(program.program);
+    // The customer's hash is the seed, so that equal ids of different customers are independent.
+    const auto hash = core::hash64(root, core::hash64(program.customer));
+    const auto dot = root.find('.');
+    const auto everywhere = static_cast<core::PartitionId>(hash % this->count);
+    if (dot == std::string_view::npos) {
+        return everywhere;
+    }
+    const auto found = std::lower_bound(this->regions.begin(), this->regions.end(), root.substr(0, dot));
+    if (found == this->regions.end() || *found != root.substr(0, dot)) {
+        return everywhere;
+    }
+    const auto index = static_cast<std::uint32_t>(found - this->regions.begin());
+    if (index >= this->count) {
+        return everywhere; // Fewer partitions than regions: this region is home of none.
+    }
+    const auto stride = static_cast<std::uint32_t>(this->regions.size());
+    const auto inRegion = (this->count - index + stride - 1) / stride;
+    return index + static_cast<core::PartitionId>(hash % inRegion) * stride;
+}
+
+std::string_view Partitions::homeRegion(core::PartitionId partition) const noexcept
+{
+    if (this->regions.empty()) {
+        return {};
+    }
+    return this->regions[partition % this->regions.size()];
+}
+
+} // namespace lagoontiller::state
--- /dev/null
+++ b/source/state/impl/ProgramImage.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "proto/records.pb.h"
+#include "state/ProgramState.h"
+
+#include <utility>
+#include <vector>
+
+namespace lagoontiller::state::impl {
+
+/// \brief Turns program states into the entries that rebuild them.
+class ProgramImage {
+public:
+    ProgramImage(core::PartitionId partition, core::Epoch epoch)
+        : partition(partition)
+        , epoch(epoch)
+    {
+    }
+
+    void add(const core::ProgramKey& key, const ProgramState& program);
+    void addBudget(const core::ProgramKey& root, const RootBudget& budget);
+    [[nodiscard]] std::vector<records::Entry> take() { return std::move(this->entries); }
+
+private:
+    records::Entry& next(const core::ProgramKey& key);
+    void addTurn(const core::ProgramKey& key, const StoredTurn& turn);
+    void addCall(const core::ProgramKey& key, const StoredCall& call);
+
+    core::PartitionId partition;
+    core::Epoch epoch;
+    std::vector<records::Entry> entries;
+};
+
+} // namespace lagoontiller::state::impl
