--- /dev/null
+++ b/source/policy/Router.cpp
@@ -0,0 +1,383 @@
+#include "policy/Router.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace lagoontiller::policy {
+
+namespace {
+
+constexpr std::size_t zonePicks = 4;
+constexpr std::size_t regionPicks = 3;
+constexpr std::size_t otherPicks = 2;
+constexpr double smoothing = 0.1;
+constexpr double microsecondsPerMs = 1'000;
+constexpr double bytesPerMegabyte = 1e6;
+
+/// \brief Time constant of the send rate of a pool.
+constexpr double sendRateMicroseconds = 5e6;
+/// \brief Reports older than this do not raise the number of competing calls further.
+constexpr double maximumReportAgeMicroseconds = 2e6;
+
+double decayedSends(const EndpointPool& pool, core::TimePoint now)
+{
+    return pool.recentSends * std::exp(-microseconds(now - pool.recentSendsAt) / sendRateMicroseconds);
+}
+
+} // namespace
+
+struct Router::Candidates {
+    std::array<Candidate, maximumCandidates> entries;
+    std::size_t count = 0;
+
+    [[nodiscard]] bool full() const noexcept { return this->count == maximumCandidates; }
+    [[nodiscard]] bool contains(EndpointId endpoint) const
+    {
+        const auto end = this->entries.begin() + static_cast<std::ptrdiff_t>(this->count);
+        return std::any_of(
+            this->entries.begin(), end, [endpoint](const Candidate& c) { return c.endpoint == endpoint; });
+    }
+    void noteCached(EndpointId endpoint, double tokens)
+    {
+        for (std::size_t i = 0; i < this->count; ++i) {
+            Candidate& candidate = this->entries[i];
+            if (candidate.endpoint == endpoint) {
+                candidate.cached = std::max(candidate.cached, tokens);
+            }
+        }
+    }
+};
+
+Router::Router(RouterOptions options)
+    : options(options)
+    , prefixes(options.maximumPrefixes)
+{
+}
+
+EndpointId Router::upsert(const EndpointSpec& spec)
+{
+    const EndpointId endpoint = this->table.upsert(spec);
+    if (endpoint >= this->loads.size()) {
+        this->loads.resize(endpoint + 1);
+    }
+    const ServiceId service = this->table.row(endpoint).service;
+    if (service >= this->services.size()) {
+        this->services.resize(service + 1);
+        this->services[service].meanCallMs = this->options.initialCallMs;
+    }
+    if (spec.state == EndpointState::Gone) {
+        this->prefixes.clear(endpoint);
+    }
+    return endpoint;
+}
+
+void Router::setTraffic(EndpointId endpoint, TrafficShare traffic)
+{
+    this->table.setTraffic(endpoint, traffic);
+}
+
+void Router::sent(CallId call, const SentCall& sent, core::TimePoint now)
+{
+    EndpointLoad& load = this->loads[sent.endpoint];
+    const double queue = this->queueMs(sent.endpoint, now) / load.slowdown;
+    load.estimate.started(now);
+    load.pendingPrefill += std::max(0.0, sent.promptTokens - sent.cachedTokens);
+    this->calls.insert_or_assign(call, InFlight { sent, now, queue, false });
+    this->prefixes.confirm(sent.prefix, sent.endpoint, sent.promptTokens, now);
+}
+
+void Router::firstToken(CallId call, core::TimePoint /*now*/)
+{
+    const auto entry = this->calls.find(call);
+    if (entry != this->calls.end()) {
+        this->endPrefill(entry->second);
+    }
+}
+
+void Router::finished(CallId call, const Usage& usage, core::TimePoint now)
+{
+    const auto entry = this->calls.find(call);
+    if (entry == this->calls.end()) {
+        return;
+    }
+    this->endPrefill(entry->second);
+    this->learn(entry->second, usage, now);
+    const SentCall& sent = entry->second.sent;
+    this->loads[sent.endpoint].estimate.ended(now);
+    this->prefixes.confirm(sent.prefix, sent.endpoint, usage.promptTokens + usage.completionTokens, now);
+    this->calls.erase(entry);
+}
+
+void Router::failed(CallId call, FailureKind kind, core::TimePoint now)
+{
+    const auto entry = this->calls.find(call);
+    if (entry == this->calls.end()) {
+        return;
+    }
+    this->endPrefill(entry->second);
+    const EndpointId endpoint = entry->second.sent.endpoint;
+    this->loads[endpoint].estimate.ended(now);
+    this->calls.erase(entry);
+    if (isEndpointLoss(kind)) {
+        this->prefixes.clear(endpoint);
+    }
+}
+
+void Router::report(EndpointId endpoint, const LoadReport& report)
+{
+    LoadEstimate& estimate = this->loads[endpoint].estimate;
+    const bool first = estimate.sampledAt() == core::TimePoint {};
+    const double before = estimate.others();
+    if (!estimate.report(report)) {
+        return;
+    }
+    ServiceLoad& service = this->services[this->table.row(endpoint).service];
+    service.othersSum += estimate.others() - before;
+    service.reporting += first ? 1 : 0;
+}
+
+void Router::cacheEvent(EndpointId endpoint, const CacheEvent& event)
+{
+    this->prefixes.apply(endpoint, event);
+}
+
+void Router::released(PrefixKey program)
+{
+    this->prefixes.release(program);
+}
+
+core::Expected<RouteDecision> Router::choose(const RouteRequest& request, core::TimePoint now, Random& random)
+{
+    EndpointPool* const pool = this->table.pool(request.service, request.model);
+    if (pool == nullptr) {
+        return core::failure(core::ResultCode::UnknownModel,
+            "no endpoint of service '" + request.service + "' has served model '" + request.model + "'");
+    }
+    Candidates candidates;
+    this->collectHolders(request, candidates, random);
+    this->collectPicks(request, *pool, candidates, random);
+    if (candidates.count == 0) {
+        this->collectAny(request, *pool, candidates, random);
+    }
+    if (candidates.count == 0) {
+        return core::failure(core::ResultCode::NoEndpoint,
+            "every endpoint of service '" + request.service + "' is leaving, ejected or excluded");
+    }
+    this->price(request, candidates, now);
+    std::array<double, maximumCandidates> costs;
+    for (std::size_t i = 0; i < candidates.count; ++i) {
+        costs[i] = candidates.entries[i].cost;
+    }
+    const double work = this->competingWork(request, *pool, candidates, now);
+    const Candidate& chosen
+        = candidates.entries[drawByWaterFilling(std::span(costs.data(), candidates.count), work, random)];
+    return RouteDecision { chosen.endpoint, chosen.cost, chosen.queueMs, chosen.firstTokenMs, chosen.cached,
+        static_cast<std::uint32_t>(candidates.count), chosen.crossRegion };
+}
+
+double Router::cachedTokens(PrefixKey prefix, EndpointId endpoint) const
+{
+    const auto* const holders = prefix == 0 ? nullptr : this->prefixes.holders(prefix);
+    if (holders == nullptr) {
+        return 0;
+    }
+    for (const PrefixHolder& holder : *holders) {
+        if (holder.endpoint == endpoint) {
+            return this->prefixes.expectedTokens(holder);
+        }
+    }
+    return 0;
+}
+
+void Router::collectHolders(const RouteRequest& request, Candidates& candidates, Random& random) const
+{
+    for (const PrefixKey prefix : { request.prefix, request.sharedPrefix }) {
+        const auto* const holders = prefix == 0 ? nullptr : this->prefixes.holders(prefix);
+        if (holders == nullptr) {
+            continue;
+        }
+        for (const PrefixHolder& holder : *holders) {
+            if (this->table.serves(holder.endpoint, request.service, request.model)) {
+                this->add(holder.endpoint, request, candidates, random);
+                candidates.noteCached(holder.endpoint, this->prefixes.expectedTokens(holder));
+            }
+        }
+    }
+}
+
+void Router::collectPicks(
+    const RouteRequest& request, const EndpointPool& pool, Candidates& candidates, Random& random) const
+{
+    if (pool.all.size() <= maximumCandidates) {
+        for (const EndpointId endpoint : pool.all) {
+            this->add(endpoint, request, candidates, random);
+        }
+        return;
+    }
+    const auto pick = [&](const std::vector<EndpointId>& from, std::size_t picks) {
+        for (std::size_t i = 0; i < picks && !from.empty(); ++i) {
+            this->add(from[uniformIndex(random, from.size())], request, candidates, random);
+        }
+    };
+    const auto pickPlace = [&](const auto& byPlace, const std::string& place, std::size_t picks) {
+        const auto id = this->table.findPlace(place);
+        const auto entry = id ? byPlace.find(*id) : byPlace.end();
+        if (entry != byPlace.end()) {
+            pick(entry->second, picks);
+        }
+    };
+    pickPlace(pool.byZone, request.zone, zonePicks);
+    pickPlace(pool.byRegion, request.region, regionPicks);
+    pick(pool.all, otherPicks);
+}
+
+void Router::collectAny(
+    const RouteRequest& request, const EndpointPool& pool, Candidates& candidates, Random& random) const
+{
+    constexpr std::size_t maximumScan = 64;
+    const std::size_t size = pool.all.size();
+    const std::size_t start = size == 0 ? 0 : uniformIndex(random, size);
+    for (std::size_t i = 0; i < std::min(size, maximumScan) && !candidates.full(); ++i) {
+        const EndpointId endpoint = pool.all[(start + i) % size];
+        if (this->admits(endpoint, request)) {
+            candidates.entries[candidates.count++].endpoint = endpoint;
+        }
+    }
+}
+
+bool Router::admits(EndpointId endpoint, const RouteRequest& request) const
+{
+    if (std::find(request.excluded.begin(), request.excluded.end(), endpoint) != request.excluded.end()) {
+        return false;
+    }
+    return request.repeatable || !this->table.row(endpoint).traffic.probing;
+}
+
+void Router::add(EndpointId endpoint, const RouteRequest& request, Candidates& candidates, Random& random) const
+{
+    if (candidates.full() || candidates.contains(endpoint) || !this->admits(endpoint, request)) {
+        return;
+    }
+    const double share = this->table.row(endpoint).traffic.share;
+    if (share < 1 && uniform(random) >= share) {
+        return;
+    }
+    candidates.entries[candidates.count++].endpoint = endpoint;
+}
+
+void Router::price(const RouteRequest& request, Candidates& candidates, core::TimePoint now) const
+{
+    const auto zone = this->table.findPlace(request.zone);
+    const auto region = this->table.findPlace(request.region);
+    double mostCached = 0;
+    for (std::size_t i = 0; i < candidates.count; ++i) {
+        Candidate& candidate = candidates.entries[i];
+        candidate.cached = std::min<double>(candidate.cached, request.promptTokens);
+        mostCached = std::max(mostCached, candidate.cached);
+    }
+    const auto bytes = static_cast<double>(request.requestBytes + request.responseBytes);
+    for (std::size_t i = 0; i < candidates.count; ++i) {
+        Candidate& candidate = candidates.entries[i];
+        const EndpointTable::Row& row = this->table.row(candidate.endpoint);
+        candidate.crossRegion = row.region != region;
+        candidate.queueMs = this->queueMs(candidate.endpoint, now);
+        double distance = row.zone == zone ? 0 : this->options.zoneDistanceMs;
+        double wasted = (mostCached - candidate.cached) / this->options.prefillTokensPerMs;
+        if (candidate.crossRegion) {
+            distance = this->options.regionDistanceMs + bytes / this->options.regionLinkBytesPerMs;
+            wasted += bytes / bytesPerMegabyte * this->options.billedMsPerMegabyte;
+        }
+        const double recompute = (request.promptTokens - candidate.cached) / this->options.prefillTokensPerMs;
+        candidate.firstTokenMs = candidate.queueMs + recompute * this->loads[candidate.endpoint].slowdown + distance;
+        candidate.cost = request.latencyWeight * candidate.firstTokenMs + request.wastedCacheWeight * wasted;
+    }
+}
+
+double Router::queueMs(EndpointId endpoint, core::TimePoint now) const
+{
+    const EndpointLoad& load = this->loads[endpoint];
+    const ServiceLoad& service = this->services[this->table.row(endpoint).service];
+    const double meanOfOthers = service.reporting == 0 ? 0 : service.othersSum / service.reporting;
+    const double requests = load.estimate.requests(now, meanOfOthers);
+    const double queue
+        = requests * service.meanCallMs / this->options.slots + load.pendingPrefill / this->options.prefillTokensPerMs;
+    return queue * load.slowdown;
+}
+
+double Router::competingWork(
+    const RouteRequest& request, EndpointPool& pool, const Candidates& candidates, core::TimePoint now) const
+{
+    if (pool.recentSendsAt == core::TimePoint {}) {
+        pool.recentSends = this->options.initialSendsPerSecond * sendRateMicroseconds / 1e6;
+        pool.recentSendsAt = now;
+    }
+    pool.recentSends = decayedSends(pool, now) + 1;
+    pool.recentSendsAt = now;
+    const auto end = candidates.entries.begin() + static_cast<std::ptrdiff_t>(candidates.count);
+    const auto cheaper = [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; };
+    const EndpointId cheapest = std::min_element(candidates.entries.begin(), end, cheaper)->endpoint;
+    const double age = microseconds(now - this->loads[cheapest].estimate.sampledAt());
+    const double perDecider = pool.recentSends / sendRateMicroseconds * std::min(age, maximumReportAgeMicroseconds);
+    const double competing = (this->options.deciders - 1) * perDecider;
+    const double part = static_cast<double>(candidates.count) / static_cast<double>(pool.all.size());
+    const double callMs = this->services[this->table.row(cheapest).service].meanCallMs / this->options.slots;
+    return competing * std::min(1.0, part) * callMs * request.latencyWeight;
+}
+
+void Router::endPrefill(InFlight& call)
+{
+    if (call.prefilled) {
+        return;
+    }
+    call.prefilled = true;
+    double& pending = this->loads[call.sent.endpoint].pendingPrefill;
+    pending = std::max(0.0, pending - std::max(0.0, call.sent.promptTokens - call.sent.cachedTokens));
+}
+
+void Router::learn(const InFlight& call, const Usage& usage, core::TimePoint now)
+{
+    constexpr double minimumSlowdown = 0.5;
+    constexpr double maximumSlowdown = 8;
+    const double observed = microseconds(now - call.sentAt) / microsecondsPerMs;
+    const double uncached = std::max(0.0, static_cast<double>(usage.promptTokens) - usage.cachedTokens);
+    const double predicted = call.queueMs + uncached / this->options.prefillTokensPerMs
+        + usage.completionTokens * this->options.msPerGeneratedToken;
+    ServiceLoad& service = this->services[this->table.row(call.sent.endpoint).service];
+    service.meanCallMs += smoothing * (observed - service.meanCallMs);
+    // Calls without tokens (tool and plain services) have no prediction to compare with.
+    if (usage.completionTokens == 0) {
+        return;
+    }
+    double& slowdown = this->loads[call.sent.endpoint].slowdown;
+    slowdown += smoothing * (std::clamp(observed / predicted, minimumSlowdown, maximumSlowdown) - slowdown);
+}
+
+std::size_t drawByWaterFilling(std::span<const double> costs, double work, Random& random)
+{
+    std::array<double, Router::maximumCandidates> sorted;
+    const auto end = std::copy(costs.begin(), costs.end(), sorted.begin());
+    std::sort(sorted.begin(), end);
+    // A small minimum makes candidates of equal cost equally likely.
+    double level = sorted[0] + std::max(work, 1e-6 * (1 + std::abs(sorted[0])));
+    double sum = sorted[0];
+    for (std::size_t i = 1; i < costs.size() && sorted[i] < level; ++i) {
+        sum += sorted[i];
+        level = (sum + std::max(work, 1e-6)) / static_cast<double>(i + 1);
+    }
+    double total = 0;
+    for (const double cost : costs) {
+        total += std::max(0.0, level - cost);
+    }
+    double drawn = uniform(random) * total;
+    const auto cheapest = std::min_element(costs.begin(), costs.end()) - costs.begin();
+    for (std::size_t i = 0; i < costs.size(); ++i) {
+        drawn -= std::max(0.0, level - costs[i]);
+        if (drawn < 0) {
+            return i;
+        }
+    }
+    return static_cast<std::size_t>(cheapest);
+}
+
+} // namespace lagoontiller::policy
