Add SWIM membership as a state machine with tests under virtual time

Cause: nodes need to know who lives, without a coordination service and at constant traffic per node.

Change: package nodes with Membership (probe, indirect probe, suspicion, refutation, dead, left, join through seeds, bounded piggyback, rejoin after a pause, merge after a cut).

--- /dev/null
+++ b/source/nodes/Effects.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/Time.h"
+#include "nodes/Member.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lagoontiller::nodes {
+
+/// \brief A message to send. The state machines other than Membership name only the receiver and fill only the body;
+/// `Membership::complete` adds address, sender and versions.
+struct SendMessage {
+    /// \brief Empty when only the address is known (a seed from settings).
+    std::string node;
+    std::string address;
+    wire::Envelope envelope;
+};
+
+/// \brief A member was added (`before` is empty) or its record changed.
+struct MemberChanged {
+    std::optional<Member> before;
+    Member after;
+};
+
+/// \brief A dead or left member was removed from memory.
+struct MemberForgotten {
+    std::string node;
+};
+
+/// \brief This node did not run for `gap`; its view is out of date until ViewRefreshed follows.
+struct ViewStale {
+    core::Duration gap;
+};
+
+/// \brief A whole member list was received after the start or after ViewStale, or nobody answered within 5 s.
+struct ViewRefreshed { };
+
+/// \brief Others held this node for suspect or dead; it raised its incarnation to `incarnation`.
+struct SelfRefuted {
+    std::uint64_t incarnation;
+};
+
+using MembershipEffect
+    = std::variant<SendMessage, MemberChanged, MemberForgotten, ViewStale, ViewRefreshed, SelfRefuted>;
+using MembershipEffects = std::vector<MembershipEffect>;
+
+} // namespace lagoontiller::nodes
--- /dev/null
+++ b/tests/PartitionMergeTests.cpp
@@ -0,0 +1,43 @@
+#include "support/VirtualNetwork.h"
+
+namespace lagoontiller::nodes::support {
+
+namespace {
+
+using std::chrono::seconds;
+
+struct Case {
+    std::size_t nodes;
+    core::Duration cut;
+    /// The seeds have indexes 0 to 2; the cut runs between the indexes below and from this one on.
+    std::size_t firstOfSecondHalf;
+};
+
+class PartitionMerge : public testing::TestWithParam<Case> { };
+
+} // namespace
+
+// Guards against two regions that stay apart for ever once each has declared the other dead, or forgotten it.
+TEST_P(PartitionMerge, HalvesMergeAfterTheCut)
+{
+    NetworkOptions options;
+    options.nodes = GetParam().nodes;
+    VirtualNetwork network(options);
+    ASSERT_TRUE(network.runUntil([&] { return network.isConverged(); }, seconds(120)));
+    for (std::size_t index = GetParam().firstOfSecondHalf; index < network.size(); ++index)
+        network.setGroup(index, 1);
+    network.run(GetParam().cut);
+    EXPECT_EQ(network.membership(0).living().size(), GetParam().firstOfSecondHalf);
+    EXPECT_EQ(network.membership(network.size() - 1).living().size(), network.size() - GetParam().firstOfSecondHalf);
+    network.heal();
+    const auto took = network.runUntil([&] { return network.isConverged(); }, std::chrono::minutes(3));
+    ASSERT_TRUE(took);
+    std::cout << "nodes=" << options.nodes << " merged_ms=" << took->count() / 1000 << "\n";
+}
+
+INSTANTIATE_TEST_SUITE_P(Cuts, PartitionMerge,
+    testing::Values(Case { 12, std::chrono::minutes(1), 6 }, Case { 12, std::chrono::minutes(60), 6 },
+        Case { 12, std::chrono::minutes(70), 6 }, Case { 12, std::chrono::minutes(70), 2 },
+        Case { 48, std::chrono::minutes(61), 24 }, Case { 200, std::chrono::minutes(2), 100 }));
+
+} // namespace lagoontiller::nodes::support
