--- a/source/document/CrossCheck.cpp
+++ b/source/document/CrossCheck.cpp
@@ -60,17 +60,20 @@
     void collectVms()
     {
         std::map<std::string, std::string> regionOfZone;
+        std::set<std::string> regions;
         for (const auto& record : this->records) {
             if (record.kind() == "zone")
                 regionOfZone.emplace(record.name(), record.text("region"));
+            if (record.kind() == "region")
+                regions.insert(record.name());
         }
         for (const auto& record : this->records) {
             if (record.kind() != "vm")
                 continue;
             const auto region = regionOfZone[record.text("zone")];
-            this->allVmsPlaced = this->allVmsPlaced && !region.empty();
+            this->allVmsPlaced = this->allVmsPlaced && regions.contains(region);
             this->regionsWithVms.insert(region);
-            this->hasEntry = this->hasEntry || record.text("role") == "entry";
+            this->hasEntry = this->hasEntry || record.isRefused("role") || record.text("role") == "entry";
             if (has(record, "service"))
                 this->regionsOfService[record.text("service")].insert(region);
         }
--- a/source/document/Difference.cpp
+++ b/source/document/Difference.cpp
@@ -62,7 +62,7 @@
     return difference(from.values(), to.values());
 }
 
-std::vector<DocumentValue> apply(const std::vector<DocumentValue>& values, const Changes& changes)
+std::vector<DocumentValue> applyChanges(const std::vector<DocumentValue>& values, const Changes& changes)
 {
     auto map = valueMap(values);
     for (const auto& change : changes) {
--- a/source/document/Difference.h
+++ b/source/document/Difference.h
@@ -17,7 +17,7 @@
 
 /// \brief One value that differs. An empty key stands for the section itself.
 ///
-/// Holds the full values for `apply`; everything that is shown or stored uses `shownBefore` and `shownAfter`.
+/// Holds the full values for `applyChanges`; everything that is shown or stored uses `shownBefore` and `shownAfter`.
 class Change {
 public:
     Change(ChangeKind kind, std::string section, std::string key, std::string before, std::string after)
@@ -56,7 +56,7 @@
 [[nodiscard]] Changes difference(const Document& from, const Document& to);
 
 /// \brief The values after the changes. Changes that do not fit are applied as far as they go.
-[[nodiscard]] std::vector<DocumentValue> apply(const std::vector<DocumentValue>& values, const Changes& changes);
+[[nodiscard]] std::vector<DocumentValue> applyChanges(const std::vector<DocumentValue>& values, const Changes& changes);
 
 /// \brief Canonical values of a text. Refused values are left out, so that a text accepted by an earlier release can
 /// still be compared.
--- a/source/document/IniText.cpp
+++ b/source/document/IniText.cpp
@@ -3,6 +3,7 @@
 #include "document/impl/Utf8.h"
 #include "document/impl/Words.h"
 
+#include <algorithm>
 #include <ini.h>
 #include <mutex>
 #include <optional>
@@ -101,14 +102,13 @@
         const auto start = bytes.find('[');
         const auto end = bytes.find(']', start);
         const int column = columnAt(bytes, start);
-        if (end == std::string_view::npos) {
+        // The section is kept in spite of the fault: its keys must not be taken for keys of the section before it.
+        if (end == std::string_view::npos)
             this->fault(column, "the heading has no closing bracket", "[KIND] or [KIND NAME]");
-            return;
-        }
-        const auto rest = trimmed(bytes.substr(end + 1));
+        const auto rest = end == std::string_view::npos ? std::string_view() : trimmed(bytes.substr(end + 1));
         if (!rest.empty() && rest.front() != ';' && rest.front() != '#')
             this->fault(columnAt(bytes, end + 1), "text after the heading", "a comment that starts with ; or #");
-        const auto words = trimmed(bytes.substr(start + 1, end - start - 1));
+        const auto words = trimmed(bytes.substr(start + 1, std::min(end, bytes.size()) - start - 1));
         const auto kind = words.substr(0, words.find_first_of(blanks));
         const auto name = trimmed(words.substr(kind.size()));
         if (this->result.sections.size() == maximumSections) {
--- a/source/document/Merge.cpp
+++ b/source/document/Merge.cpp
@@ -82,7 +82,7 @@
         else if (!agreed)
             result.kept.push_back(change);
     }
-    result.values = apply(theirs, result.kept);
+    result.values = applyChanges(theirs, result.kept);
     return result;
 }
 
--- a/source/document/Schema.cpp
+++ b/source/document/Schema.cpp
@@ -12,6 +12,8 @@
 
 std::string rangeOf(const Field& field)
 {
+    if (field.minimum == field.maximum)
+        return printNumber(field.minimum);
     return printNumber(field.minimum) + " to " + printNumber(field.maximum);
 }
 
