Add the ZeroMQ transport between nodes with real-socket tests

Cause: nodes exchange probes, documents and forwarded calls over links that only holders of the deployment key may open.

Change: Transport with a receiving ROUTER, one sending DEALER per peer address, CURVE with a ZAP handler, bounded queues (probes dropped first), heartbeats, reconnect and removal of idle links.

--- /dev/null
+++ b/bench/TransportBench.cpp
@@ -0,0 +1,95 @@
+// Measures a pair of transports in one process over loopback and prints key=value lines.
+#include "nodes/Transport.h"
+
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <iostream>
+#include <thread>
+
+namespace {
+
+using namespace lagoontiller;
+
+constexpr std::uint64_t MESSAGES = 200'000;
+constexpr std::size_t PAYLOAD_BYTES = 200;
+constexpr int IDLE_SECONDS = 15;
+constexpr int MAX_DESCRIPTOR = 1024;
+
+/// Bytes that all TCP sockets of this process sent, with 40 bytes of TCP and IP header per segment.
+std::uint64_t tcpBytesSent()
+{
+    std::uint64_t total = 0;
+    for (int descriptor = 0; descriptor < MAX_DESCRIPTOR; ++descriptor) {
+        struct tcp_info info { };
+        socklen_t size = sizeof(info);
+        if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0)
+            total += info.tcpi_bytes_sent + 40ULL * info.tcpi_segs_out;
+    }
+    return total;
+}
+
+std::unique_ptr<nodes::Transport> startTransport(
+    const std::pair<std::string, std::string>& keys, nodes::Transport::Receiver receiver)
+{
+    nodes::TransportSettings settings;
+    settings.address = "127.0.0.1:*";
+    settings.publicKey = keys.first;
+    settings.secretKey = keys.second;
+    auto started = nodes::Transport::start(settings, std::move(receiver));
+    if (!started) {
+        std::cerr << started.error().message << "\n";
+        std::exit(1);
+    }
+    return std::move(*started);
+}
+
+nodes::SendMessage makeMessage(const std::string& sender, const std::string& address)
+{
+    nodes::SendMessage message { "", address, {} };
+    message.envelope.set_sender(sender);
+    message.envelope.mutable_forward_data()->set_data(std::string(PAYLOAD_BYTES, 'x'));
+    return message;
+}
+
+void sendAndWait(nodes::Transport& from, nodes::Transport& to, const std::string& name, std::uint64_t count)
+{
+    const std::uint64_t before = to.counts().received;
+    constexpr std::uint64_t WINDOW = 500;
+    for (std::uint64_t index = 0; index < count; ++index) {
+        while (index - (to.counts().received - before) >= WINDOW)
+            std::this_thread::yield();
+        from.send(makeMessage(name, to.address()));
+    }
+    while (to.counts().received - before < count)
+        std::this_thread::yield();
+}
+
+} // namespace
+
+int main()
+{
+    const auto keys = nodes::makeCurveKeyPair();
+    const auto ignore = [](const std::string&, const nodes::wire::Envelope&) {};
+    const auto a = startTransport(keys, ignore);
+    const auto b = startTransport(keys, ignore);
+    const auto c = startTransport(keys, ignore);
+    sendAndWait(*a, *b, "a", 1);
+    const auto started = core::monotonicNow();
+    sendAndWait(*a, *b, "a", MESSAGES);
+    const auto seconds = std::chrono::duration<double>(core::monotonicNow() - started).count();
+    std::cout << "payload_bytes=" << PAYLOAD_BYTES << " messages_per_second=" << MESSAGES / seconds << "\n";
+    sendAndWait(*b, *a, "b", 1);
+    for (const auto* other : { &b, &c }) {
+        sendAndWait(*a, **other, "a", 1);
+        sendAndWait(**other, *a, *other == b ? "b" : "c", 1);
+    }
+    sendAndWait(*b, *c, "b", 1);
+    sendAndWait(*c, *b, "c", 1);
+    const auto before = tcpBytesSent();
+    std::this_thread::sleep_for(std::chrono::seconds(IDLE_SECONDS));
+    std::cout << "nodes=3 peers=2 idle_bytes_sent_per_second_and_node="
+              << static_cast<double>(tcpBytesSent() - before) / IDLE_SECONDS / 3 << "\n";
+    return 0;
+}
--- a/source/nodes/Effects.h
+++ b/source/nodes/Effects.h
@@ -43,8 +43,15 @@
     std::uint64_t incarnation;
 };
 
+/// \brief A helper reached the member that did not answer this node's own probe: the link to it may be silent and is to
+/// be opened anew (`Transport::reconnect`).
+struct ReconnectPeer {
+    std::string node;
+    std::string address;
+};
+
 using MembershipEffect
-    = std::variant<SendMessage, MemberChanged, MemberForgotten, ViewStale, ViewRefreshed, SelfRefuted>;
+    = std::variant<ReconnectPeer, SendMessage, MemberChanged, MemberForgotten, ViewStale, ViewRefreshed, SelfRefuted>;
 using MembershipEffects = std::vector<MembershipEffect>;
 
 } // namespace lagoontiller::nodes
--- a/source/nodes/Membership.h
+++ b/source/nodes/Membership.h
@@ -113,6 +113,7 @@
     void handleProbe(const wire::Envelope& envelope, MembershipEffects& effects);
     void handleProbeRequest(const wire::Envelope& envelope, core::TimePoint now, MembershipEffects& effects);
     void handleAcknowledgement(const wire::Envelope& envelope, MembershipEffects& effects);
+    void reportSilentLink(const std::string& node, MembershipEffects& effects) const;
     void send(const std::string& node, wire::Envelope envelope, MembershipEffects& effects) const;
     void attachUpdates(const std::string& receiver, google::protobuf::RepeatedPtrField<wire::MemberUpdate>& updates);
     [[nodiscard]] std::vector<std::string> randomPeers(std::size_t count, const std::string& except);
--- a/source/nodes/MembershipProbes.cpp
+++ b/source/nodes/MembershipProbes.cpp
@@ -131,6 +131,8 @@
 {
     const auto& received = envelope.acknowledgement();
     if (this->pending && this->pending->sequence == received.sequence() && this->pending->target == received.target()) {
+        if (envelope.sender() != received.target())
+            this->reportSilentLink(received.target(), effects);
         this->pending.reset();
         return;
     }
@@ -147,6 +149,13 @@
     this->send(origin, std::move(reply), effects);
 }
 
+void Membership::reportSilentLink(const std::string& node, MembershipEffects& effects) const
+{
+    const auto found = this->members.find(node);
+    if (found != this->members.end())
+        effects.emplace_back(ReconnectPeer { node, found->second.address });
+}
+
 void Membership::send(const std::string& node, wire::Envelope envelope, MembershipEffects& effects) const
 {
     SendMessage message { node, {}, std::move(envelope) };
--- /dev/null
+++ b/source/nodes/impl/CurveAuthenticator.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "nodes/Transport.h"
+
+#include <string>
+#include <zmq.hpp>
+
+namespace lagoontiller::nodes {
+
+/// \brief ZAP handler (RFC 27) that accepts only the deployment's public key. Runs on the traffic thread.
+class CurveAuthenticator {
+public:
+    /// Must exist before a CURVE server socket of the context is bound.
+    CurveAuthenticator(zmq::context_t& context, std::string publicKey, TransportCounts& counts);
+
+    [[nodiscard]] zmq::socket_t& socket() noexcept { return this->requests; }
+    /// \brief Answers all waiting requests.
+    void answer();
+
+private:
+    zmq::socket_t requests;
+    std::string publicKey;
+    TransportCounts* counts;
+};
+
+} // namespace lagoontiller::nodes
--- /dev/null
+++ b/source/nodes/impl/TrafficThread.cpp
@@ -0,0 +1,258 @@
+#include "nodes/impl/TrafficThread.h"
+
+#include "core/Log.h"
+
+#include <zmq_addon.hpp>
+
+namespace lagoontiller::nodes {
+
+namespace {
+
+/// One DEALER per peer; 780 nodes need more than ZeroMQ's default of 1023 sockets with the other sockets.
+constexpr int MAX_SOCKETS = 4096;
+
+/// Frames taken from the ROUTER before queued commands get their turn again.
+constexpr int RECEIVE_BATCH = 256;
+
+/// ZeroMQ closes the connection of a larger frame without a count, so the limit that is counted lies below.
+constexpr std::int64_t CLOSING_FRAME_BYTES = 2 * static_cast<std::int64_t>(MAX_FRAME_BYTES);
+
+constexpr core::Duration CLEANING_INTERVAL = std::chrono::seconds(5);
+constexpr std::string_view WAKE_ADDRESS = "inproc://wake";
+
+bool isProbeTraffic(const wire::Envelope& envelope)
+{
+    switch (envelope.body_case()) {
+    case wire::Envelope::kProbe:
+    case wire::Envelope::kProbeRequest:
+    case wire::Envelope::kAcknowledgement:
+        return true;
+    default:
+        return false;
+    }
+}
+
+int milliseconds(core::Duration duration)
+{
+    return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+} // namespace
+
+Transport::Implementation::Implementation(TransportSettings settings, Receiver receiver)
+    : settings(std::move(settings))
+    , receiver(std::move(receiver))
+    , authenticator((this->context.set(zmq::ctxopt::max_sockets, MAX_SOCKETS), this->context), this->settings.publicKey,
+          this->counts)
+    , router(this->context, zmq::socket_type::router)
+    , wakeReceiver(this->context, zmq::socket_type::pair)
+    , wakeSender(this->context, zmq::socket_type::pair)
+{
+}
+
+Transport::Implementation::~Implementation()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->isStopping = true;
+        if (this->thread.joinable())
+            this->wakeSender.send(zmq::message_t(), zmq::send_flags::dontwait);
+    }
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+std::string Transport::Implementation::start()
+{
+    this->wakeReceiver.bind(std::string(WAKE_ADDRESS));
+    this->wakeSender.connect(std::string(WAKE_ADDRESS));
+    this->wakeSender.set(zmq::sockopt::linger, 0);
+    this->setLinkOptions(this->router);
+    this->router.set(zmq::sockopt::curve_server, true);
+    this->router.set(zmq::sockopt::curve_secretkey, this->settings.secretKey);
+    this->router.set(zmq::sockopt::curve_publickey, this->settings.publicKey);
+    this->router.set(zmq::sockopt::zap_domain, "nodes");
+    this->router.set(zmq::sockopt::rcvhwm, this->settings.queueLength);
+    this->router.bind("tcp://" + this->settings.address);
+    const auto endpoint = this->router.get(zmq::sockopt::last_endpoint);
+    this->thread = std::thread([this] { this->run(); });
+    return endpoint.substr(std::string_view("tcp://").size());
+}
+
+void Transport::Implementation::setLinkOptions(zmq::socket_t& socket)
+{
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::maxmsgsize, CLOSING_FRAME_BYTES);
+    socket.set(zmq::sockopt::heartbeat_ivl, milliseconds(this->settings.heartbeat));
+    socket.set(zmq::sockopt::heartbeat_timeout, milliseconds(this->settings.heartbeat));
+    socket.set(zmq::sockopt::heartbeat_ttl, 3 * milliseconds(this->settings.heartbeat));
+}
+
+bool Transport::Implementation::enqueue(SendMessage message)
+{
+    const bool isProbe = isProbeTraffic(message.envelope);
+    const auto size = message.envelope.ByteSizeLong();
+    if (message.address.empty() || size > MAX_FRAME_BYTES) {
+        this->countDrop(isProbe);
+        return false;
+    }
+    zmq::message_t frame(size);
+    message.envelope.SerializeWithCachedSizesToArray(frame.data<std::uint8_t>());
+    const std::lock_guard lock(this->mutex);
+    // Probes are repeated by the protocol and go first when the queue fills.
+    const auto limit = isProbe ? this->settings.commandLength / 2 : this->settings.commandLength;
+    if (this->isStopping || this->commands.size() >= limit) {
+        this->countDrop(isProbe);
+        return false;
+    }
+    this->push(Command { std::move(message.address), isProbe, false, std::move(frame) });
+    return true;
+}
+
+void Transport::Implementation::enqueueReconnect(const std::string& address)
+{
+    const std::lock_guard lock(this->mutex);
+    if (!this->isStopping && this->commands.size() < this->settings.commandLength)
+        this->push(Command { address, false, true, {} });
+}
+
+void Transport::Implementation::push(Command command)
+{
+    this->commands.push_back(std::move(command));
+    if (this->commands.size() == 1)
+        this->wakeSender.send(zmq::message_t(), zmq::send_flags::dontwait);
+}
+
+void Transport::Implementation::countDrop(bool isProbe)
+{
+    ++(isProbe ? this->counts.droppedProbes : this->counts.droppedOther);
+}
+
+void Transport::Implementation::run()
+{
+    zmq::pollitem_t items[] = {
+        { this->authenticator.socket().handle(), 0, ZMQ_POLLIN, 0 },
+        { this->router.handle(), 0, ZMQ_POLLIN, 0 },
+        { this->wakeReceiver.handle(), 0, ZMQ_POLLIN, 0 },
+    };
+    while (true) {
+        zmq::poll(items, std::size(items), std::chrono::milliseconds(CLEANING_INTERVAL / std::chrono::milliseconds(1)));
+        const auto now = core::monotonicNow();
+        this->authenticator.answer();
+        zmq::message_t wake;
+        while (this->wakeReceiver.recv(wake, zmq::recv_flags::dontwait)) { }
+        {
+            const std::lock_guard lock(this->mutex);
+            if (this->isStopping)
+                return;
+        }
+        this->sendCommands(now);
+        this->receive(now);
+        this->closeIdle(now);
+    }
+}
+
+void Transport::Implementation::sendCommands(core::TimePoint now)
+{
+    std::deque<Command> taken;
+    {
+        const std::lock_guard lock(this->mutex);
+        taken.swap(this->commands);
+    }
+    for (auto& command : taken)
+        this->sendCommand(command, now);
+}
+
+void Transport::Implementation::sendCommand(Command& command, core::TimePoint now)
+{
+    if (command.isReconnect) {
+        this->peers.erase(command.address);
+        return;
+    }
+    auto* peer = this->peer(command.address, now);
+    const auto size = command.frame.size();
+    if (peer == nullptr || !peer->socket.send(command.frame, zmq::send_flags::dontwait)) {
+        this->countDrop(command.isProbe);
+        return;
+    }
+    peer->lastUsed = now;
+    ++this->counts.sent;
+    this->counts.sentBytes += size;
+}
+
+Transport::Implementation::Peer* Transport::Implementation::peer(const std::string& address, core::TimePoint now)
+{
+    const auto found = this->peers.find(address);
+    if (found != this->peers.end())
+        return &found->second;
+    try {
+        zmq::socket_t socket(this->context, zmq::socket_type::dealer);
+        this->setLinkOptions(socket);
+        socket.set(zmq::sockopt::sndhwm, this->settings.queueLength);
+        socket.set(zmq::sockopt::reconnect_ivl, milliseconds(this->settings.reconnect));
+        socket.set(zmq::sockopt::reconnect_ivl_max, milliseconds(this->settings.maxReconnect));
+        socket.set(zmq::sockopt::curve_serverkey, this->settings.publicKey);
+        socket.set(zmq::sockopt::curve_publickey, this->settings.publicKey);
+        socket.set(zmq::sockopt::curve_secretkey, this->settings.secretKey);
+        socket.connect("tcp://" + address);
+        return &this->peers.emplace(address, Peer { std::move(socket), now }).first->second;
+    } catch (const zmq::error_t& error) {
+        core::logWarning("peer_address_refused").with("address", address).with("reason", error.what());
+        return nullptr;
+    }
+}
+
+void Transport::Implementation::receive(core::TimePoint now)
+{
+    std::vector<zmq::message_t> frames;
+    for (int count = 0; count < RECEIVE_BATCH; ++count) {
+        frames.clear();
+        if (!zmq::recv_multipart(this->router, std::back_inserter(frames), zmq::recv_flags::dontwait))
+            return;
+        if (frames.size() == 2)
+            this->handleFrame(frames[0].to_string(), frames[1], now);
+        else
+            ++this->counts.malformed;
+    }
+}
+
+void Transport::Implementation::handleFrame(
+    const std::string& connection, const zmq::message_t& frame, core::TimePoint now)
+{
+    wire::Envelope envelope;
+    const bool isParsed = frame.size() <= MAX_FRAME_BYTES
+        && envelope.ParseFromArray(frame.data(), static_cast<int>(frame.size())) && !envelope.sender().empty()
+        && envelope.body_case() != wire::Envelope::BODY_NOT_SET;
+    if (!isParsed) {
+        ++this->counts.malformed;
+        return;
+    }
+    if (!this->isOwnName(connection, envelope.sender(), now)) {
+        ++this->counts.impersonated;
+        return;
+    }
+    ++this->counts.received;
+    this->counts.receivedBytes += frame.size();
+    const std::string sender = envelope.sender();
+    this->receiver(sender, std::move(envelope));
+}
+
+bool Transport::Implementation::isOwnName(const std::string& connection, const std::string& sender, core::TimePoint now)
+{
+    auto& known = this->connections.try_emplace(connection, Connection { sender, now }).first->second;
+    known.lastUsed = now;
+    return known.sender == sender;
+}
+
+void Transport::Implementation::closeIdle(core::TimePoint now)
+{
+    if (now < this->nextCleaning)
+        return;
+    this->nextCleaning = now + CLEANING_INTERVAL;
+    const auto limit = this->settings.idleClose;
+    std::erase_if(this->peers, [&](const auto& entry) { return now - entry.second.lastUsed > limit; });
+    // Peers close idle links after the same time; twice of it leaves room for their clocks and delays.
+    std::erase_if(this->connections, [&](const auto& entry) { return now - entry.second.lastUsed > 2 * limit; });
+}
+
+} // namespace lagoontiller::nodes
