--- /dev/null
+++ b/tests/ForwardStreamsTests.cpp
@@ -0,0 +1,243 @@
+#include "nodes/ForwardStreams.h"
+
+namespace lagoontiller::nodes {
+
+namespace {
+
+constexpr core::TimePoint START { std::chrono::seconds(100) };
+
+/// Two nodes "a" (opens) and "b" (serves) joined by an ordered link, with the events of both sides as text.
+class Pair {
+public:
+    explicit Pair(ForwardSettings settings = {})
+        : a(1000, settings)
+        , b(5000, settings)
+    {
+    }
+
+    StreamKey open()
+    {
+        ForwardEffects effects;
+        wire::ForwardOpen request;
+        request.set_method("POST");
+        const auto key = this->a.open("b", request, this->now, effects);
+        this->perform("a", std::move(effects));
+        return key;
+    }
+
+    [[nodiscard]] static StreamKey atServer(const StreamKey& key) { return { "a", key.stream }; }
+
+    void perform(const std::string& node, ForwardEffects effects)
+    {
+        for (auto& effect : effects)
+            std::visit([&](auto& value) { this->record(node, value); }, effect);
+    }
+
+    /// Delivers all messages in flight; `lost` gives the positions that are dropped.
+    void deliver(const std::set<std::size_t>& lost = {})
+    {
+        std::size_t position = 0;
+        while (!this->inFlight.empty()) {
+            auto [from, message] = std::move(this->inFlight.front());
+            this->inFlight.pop_front();
+            if (lost.contains(position++))
+                continue;
+            message.envelope.set_sender(from);
+            auto& target = message.node == "a" ? this->a : this->b;
+            this->perform(message.node, target.handle(message.envelope, this->now));
+        }
+    }
+
+    [[nodiscard]] std::size_t count(const std::string& event) const
+    {
+        return static_cast<std::size_t>(std::count(this->events.begin(), this->events.end(), event));
+    }
+
+    ForwardStreams a;
+    ForwardStreams b;
+    core::TimePoint now = START;
+    std::deque<std::pair<std::string, SendMessage>> inFlight;
+    std::vector<std::string> events;
+
+private:
+    void record(const std::string& node, SendMessage& message) { this->inFlight.emplace_back(node, message); }
+    void record(const std::string& node, const HeadArrived& head) { this->add(node, "head", head.status); }
+    void record(const std::string& node, const DataArrived& data)
+    {
+        this->events.push_back(node + " data " + data.data);
+    }
+    void record(const std::string& node, const AnswerEnded& end) { this->add(node, "end", static_cast<int>(end.end)); }
+    void record(const std::string& node, const RequestArrived&) { this->events.push_back(node + " request"); }
+    void record(const std::string& node, const RequestAbandoned& end)
+    {
+        this->add(node, "abandoned", static_cast<int>(end.reason));
+    }
+    void add(const std::string& node, const std::string& what, std::uint64_t value)
+    {
+        this->events.push_back(node + " " + what + " " + std::to_string(value));
+    }
+};
+
+std::string ended(StreamEnd end)
+{
+    return "a end " + std::to_string(static_cast<int>(end));
+}
+
+std::string abandoned(StreamEnd end)
+{
+    return "b abandoned " + std::to_string(static_cast<int>(end));
+}
+
+void answer(Pair& pair, const StreamKey& key, const std::vector<std::string>& parts)
+{
+    const auto served = Pair::atServer(key);
+    pair.perform("b", pair.b.sendHead(served, 200, {}, pair.now));
+    for (const auto& part : parts)
+        pair.perform("b", pair.b.sendData(served, part, pair.now));
+    pair.perform("b", pair.b.sendEnd(served, true));
+}
+
+} // namespace
+
+// Guards against an answer that is reordered, cut or attributed to another stream.
+TEST(ForwardStreams, WholeAnswerArrivesInOrder)
+{
+    Pair pair;
+    const auto key = pair.open();
+    pair.deliver();
+    answer(pair, key, { "x", "y" });
+    pair.deliver();
+    const std::vector<std::string> expected { "b request", "a head 200", "a data x", "a data y",
+        ended(StreamEnd::Complete) };
+    EXPECT_EQ(pair.events, expected);
+    EXPECT_EQ(pair.a.openedCount() + pair.b.servedCount(), 0U);
+}
+
+// Guards against an answer with a hole that is reported as complete (condition C5). Positions: head 0, data 1 to 3,
+// end 4.
+RC_GTEST_PROP(ForwardStreams, LostMessagesNeverGiveACompleteAnswer, ())
+{
+    Pair pair;
+    const auto key = pair.open();
+    pair.deliver();
+    answer(pair, key, { "x", "y", "z" });
+    const auto lost = *rc::gen::container<std::set<std::size_t>>(rc::gen::inRange<std::size_t>(0, 5));
+    pair.deliver(lost);
+    if (lost.empty()) {
+        RC_ASSERT(pair.count(ended(StreamEnd::Complete)) == 1U);
+        return;
+    }
+    RC_ASSERT(pair.count(ended(StreamEnd::Complete)) == 0U);
+    pair.perform("a", pair.a.peerLost("b"));
+    RC_ASSERT(pair.a.openedCount() == 0U);
+}
+
+// Guards against callers that wait for ever for a dead owner, and owners that work for a dead entry node.
+TEST(ForwardStreams, LostPeerEndsItsStreamsOnly)
+{
+    Pair pair;
+    const auto first = pair.open();
+    pair.open();
+    ForwardEffects effects;
+    const auto other = pair.a.open("c", {}, pair.now, effects);
+    pair.deliver();
+    pair.perform("b", pair.b.sendHead(Pair::atServer(first), 200, {}, pair.now));
+    pair.deliver();
+    pair.perform("a", pair.a.peerLost("b"));
+    EXPECT_EQ(pair.count(ended(StreamEnd::PeerLost)), 2U);
+    EXPECT_EQ(pair.a.openedCount(), 1U);
+    EXPECT_FALSE(pair.a.cancel(other).empty());
+    pair.perform("b", pair.b.peerLost("a"));
+    EXPECT_EQ(pair.count(abandoned(StreamEnd::PeerLost)), 2U);
+    EXPECT_EQ(pair.b.servedCount(), 0U);
+}
+
+// Guards against an owner that goes on with a call whose caller is gone, and against effects after the cancellation.
+TEST(ForwardStreams, CancelledStreamEndsOnBothSides)
+{
+    Pair pair;
+    const auto key = pair.open();
+    pair.deliver();
+    pair.perform("b", pair.b.sendHead(Pair::atServer(key), 200, {}, pair.now));
+    pair.perform("a", pair.a.cancel(key));
+    pair.deliver();
+    EXPECT_EQ(pair.count(abandoned(StreamEnd::Cancelled)), 1U);
+    EXPECT_EQ(pair.count("a head 200"), 0U);
+    EXPECT_TRUE(pair.b.sendData(Pair::atServer(key), "late", pair.now).empty());
+    EXPECT_TRUE(pair.a.cancel(key).empty());
+}
+
+// Guards against streams that stay in memory for ever when both sides fall silent.
+TEST(ForwardStreams, IdleStreamsEnd)
+{
+    ForwardSettings settings;
+    settings.idleLimit = std::chrono::seconds(10);
+    Pair pair(settings);
+    const auto idle = pair.open();
+    const auto active = pair.open();
+    pair.deliver();
+    pair.now += std::chrono::seconds(6);
+    pair.perform("b", pair.b.sendHead(Pair::atServer(active), 200, {}, pair.now));
+    pair.deliver();
+    pair.now += std::chrono::seconds(5);
+    pair.perform("a", pair.a.tick(pair.now));
+    pair.perform("b", pair.b.tick(pair.now));
+    EXPECT_EQ(pair.count(ended(StreamEnd::Idle)), 1U);
+    EXPECT_EQ(pair.count(abandoned(StreamEnd::Idle)), 1U);
+    EXPECT_EQ(pair.a.openedCount(), 1U);
+    EXPECT_EQ(pair.b.servedCount(), 1U);
+    EXPECT_TRUE(pair.a.cancel(idle).empty());
+}
+
+// Guards against an owner that streams to a restarted node, which knows nothing of the stream.
+TEST(ForwardStreams, AnswerToAnUnknownStreamIsCancelled)
+{
+    Pair pair;
+    const auto key = pair.open();
+    pair.deliver();
+    pair.a = ForwardStreams(900'000, {});
+    pair.perform("b", pair.b.sendHead(Pair::atServer(key), 200, {}, pair.now));
+    pair.deliver();
+    EXPECT_EQ(pair.a.unknownCount(), 1U);
+    EXPECT_EQ(pair.count(abandoned(StreamEnd::Cancelled)), 1U);
+}
+
+// Guards against a request that runs twice, and against one peer that fills the memory.
+TEST(ForwardStreams, RepeatedAndExcessiveOpensAreRefused)
+{
+    ForwardSettings settings;
+    settings.maxServedPerPeer = 2;
+    Pair pair(settings);
+    wire::Envelope envelope;
+    envelope.set_sender("a");
+    for (const std::uint64_t stream : { 1, 1, 2, 3 }) {
+        envelope.mutable_forward_open()->set_stream(stream);
+        pair.perform("b", pair.b.handle(envelope, pair.now));
+    }
+    EXPECT_EQ(pair.count("b request"), 2U);
+    ASSERT_EQ(pair.inFlight.size(), 1U);
+    EXPECT_EQ(pair.inFlight.front().second.envelope.forward_end().stream(), 3U);
+    EXPECT_FALSE(pair.inFlight.front().second.envelope.forward_end().complete());
+    // Room is free again after one has ended.
+    pair.perform("b", pair.b.sendEnd({ "a", 1 }, true));
+    envelope.mutable_forward_open()->set_stream(4);
+    pair.perform("b", pair.b.handle(envelope, pair.now));
+    EXPECT_EQ(pair.count("b request"), 3U);
+}
+
+// Guards against a peer that ends or feeds a stream opened to another node.
+TEST(ForwardStreams, OtherPeersCannotTouchAStream)
+{
+    Pair pair;
+    const auto key = pair.open();
+    wire::Envelope envelope;
+    envelope.set_sender("c");
+    envelope.mutable_forward_head()->set_stream(key.stream);
+    pair.perform("a", pair.a.handle(envelope, pair.now));
+    envelope.mutable_forward_end()->set_stream(key.stream);
+    pair.perform("a", pair.a.handle(envelope, pair.now));
+    EXPECT_EQ(pair.a.openedCount(), 1U);
+    EXPECT_TRUE(pair.events.empty());
+}
+
+} // namespace lagoontiller::nodes
