Test differences, merge and acceptance of documents

A losing edit within a section that the winner removed is now reported against the removal of the section instead of one of its keys.

--- a/source/document/Merge.cpp
+++ b/source/document/Merge.cpp
@@ -32,13 +32,11 @@
         agreed = same != nullptr && *same == change;
         if (agreed)
             return nullptr;
-        if (same != nullptr)
-            return same;
         if (this->removesSection(change.section()) && !own.removesSection(change.section()))
             return this->at(change.section(), "");
         if (own.removesSection(change.section()) && !this->removesSection(change.section()))
             return this->editOf(change.section());
-        return nullptr;
+        return same;
     }
 
 private:
