--- /dev/null
+++ b/source/state/PartitionOwnership.cpp
@@ -0,0 +1,390 @@
+#include "state/PartitionOwnership.h"
+
+#include "state/StoreKeys.h"
+
+#include <algorithm>
+
+namespace lagoontiller::state {
+
+PartitionOwnership::PartitionOwnership(
+    OwnershipSettings settings, Partitions partitions, Generator generator, core::TimePoint now)
+    : settings(std::move(settings))
+    , partitions(std::move(partitions))
+    , generator(generator)
+    , scanBackoff(this->settings.firstBackoff, this->settings.mostBackoff)
+    , takeoverBackoff(this->settings.firstBackoff, this->settings.mostBackoff)
+    , recovery(this->settings.recoveryReadsPerSecond, this->settings.logPageRows)
+    , writer(Backoff(this->settings.firstBackoff, this->settings.mostBackoff))
+{
+    this->scan.resumeAt = now;
+}
+
+void PartitionOwnership::setNodes(std::vector<LivingNode> nodes, core::TimePoint now)
+{
+    if (nodes == this->nodes) {
+        return;
+    }
+    this->nodes = std::move(nodes);
+    this->candidatesStale = true;
+    // Rows older than this change may name owners that have handed over or taken partitions since.
+    if (this->scanned && this->scan.operation == 0 && this->scan.after.empty()) {
+        this->scan.resumeAt = std::min(this->scan.resumeAt, now + this->jitter(this->settings.changeDelay));
+    }
+}
+
+void PartitionOwnership::prioritise(core::PartitionId partition)
+{
+    this->recovery.prioritise(partition);
+}
+
+OwnershipEffects PartitionOwnership::tick(core::TimePoint now, std::uint64_t nextSequence)
+{
+    OwnershipEffects effects;
+    this->sequence = nextSequence;
+    this->tickScan(now, effects);
+    this->tickTakeover(now, effects);
+    this->tickRecovery(now, effects);
+    this->tickRows(now, effects);
+    return effects;
+}
+
+core::Duration PartitionOwnership::jitter(core::Duration most)
+{
+    std::uniform_int_distribution<std::int64_t> delay(0, most.count());
+    return core::Duration(delay(this->generator));
+}
+
+void PartitionOwnership::tickScan(core::TimePoint now, OwnershipEffects& effects)
+{
+    if (this->scan.operation != 0 || now < this->scan.resumeAt) {
+        return;
+    }
+    if (this->scan.after.empty()) {
+        this->references.onScanStarted();
+    }
+    this->lastOperation += 1;
+    this->scan.operation = this->lastOperation;
+    this->reads += 1;
+    effects.emplace_back(ScanRows {
+        this->scan.operation, std::string(ownerPrefix), this->scan.after, this->settings.scanPageRows });
+}
+
+void PartitionOwnership::restartScan(core::TimePoint at)
+{
+    this->scan = { 0, at, {} };
+}
+
+OwnershipEffects PartitionOwnership::onRows(OperationId operation, const RowsResult& result, core::TimePoint now)
+{
+    OwnershipEffects effects;
+    if (this->recovery.awaits(operation)) {
+        this->recovery.onRows(operation, result, now, this->generator);
+        return effects;
+    }
+    if (operation == 0 || this->scan.operation != operation) {
+        return effects;
+    }
+    this->scan.operation = 0;
+    if (!result) {
+        this->scan.resumeAt = now + this->scanBackoff.next(this->generator);
+        return effects;
+    }
+    this->scanBackoff.reset();
+    for (const auto& row : *result) {
+        const auto partition = partitionOfOwnerKey(row.key);
+        Known known { row.version, {} };
+        if (partition && *partition < this->partitions.size() && known.row.ParseFromString(row.value)) {
+            this->learnRow(*partition, known, effects);
+        }
+    }
+    if (result->size() < this->settings.scanPageRows) {
+        this->finishScan(now);
+    } else {
+        this->scan.after = result->back().key;
+    }
+    return effects;
+}
+
+void PartitionOwnership::finishScan(core::TimePoint now)
+{
+    this->scanned = true;
+    this->references.onScanCompleted();
+    this->restartScan(now + this->settings.scanInterval / 2 + this->jitter(this->settings.scanInterval));
+    if (this->awaitsScan) {
+        this->abandonTakeover();
+        this->awaitsScan = false;
+    }
+    this->candidatesStale = true;
+}
+
+bool PartitionOwnership::isLiving(const std::string& node) const
+{
+    return std::ranges::any_of(this->nodes, [&node](const LivingNode& living) { return living.name == node; });
+}
+
+bool PartitionOwnership::isCandidate(core::PartitionId partition) const
+{
+    if (this->own.contains(partition)) {
+        return false;
+    }
+    const auto found = this->rows.find(partition);
+    if (found != this->rows.end()) {
+        const auto& row = found->second.row;
+        const auto& holder = row.successor().empty() ? row.node() : row.successor();
+        if (holder == this->settings.node) {
+            return true; // Handed to us, held by an earlier run of this node, or taken by a write of unknown result.
+        }
+        if (this->isLiving(holder)) {
+            return false;
+        }
+    }
+    return preferredOwner(this->partitions, partition, this->nodes) == this->settings.node;
+}
+
+void PartitionOwnership::refreshCandidates()
+{
+    if (!this->candidatesStale) {
+        return;
+    }
+    this->candidatesStale = false;
+    this->candidates.clear();
+    const auto self = std::ranges::find(this->nodes, this->settings.node, &LivingNode::name);
+    if (self == this->nodes.end() || self->leaving) {
+        return;
+    }
+    for (core::PartitionId partition = 0; partition < this->partitions.size(); ++partition) {
+        if (this->isCandidate(partition)) {
+            this->candidates.push_back(partition);
+        }
+    }
+}
+
+void PartitionOwnership::tickTakeover(core::TimePoint now, OwnershipEffects& effects)
+{
+    if (!this->scanned || this->takeover || this->awaitsScan) {
+        return;
+    }
+    this->refreshCandidates();
+    if (this->candidates.empty()) {
+        this->takeoverFrom.reset();
+        return;
+    }
+    if (!this->takeoverFrom) {
+        const auto most = this->firstTakeover ? this->settings.startDelay : this->settings.changeDelay;
+        this->takeoverFrom = now + this->jitter(most);
+    }
+    if (now >= *this->takeoverFrom) {
+        this->startTakeover(now, effects);
+    }
+}
+
+records::OwnerRow PartitionOwnership::rowAfterTakeover(core::PartitionId partition) const
+{
+    records::OwnerRow row;
+    row.set_node(this->settings.node);
+    row.set_epoch(1);
+    row.set_stream(this->settings.stream);
+    row.set_first_sequence(this->sequence);
+    const auto found = this->rows.find(partition);
+    if (found == this->rows.end()) {
+        return row;
+    }
+    const auto& previous = found->second.row;
+    row.set_epoch(previous.epoch() + 1);
+    row.set_snapshot_object(previous.snapshot_object());
+    *row.mutable_earlier() = previous.earlier();
+    auto* range = row.add_earlier();
+    range->set_stream(previous.stream());
+    range->set_first_sequence(previous.first_sequence());
+    range->set_last_sequence(impl::LogReferences::noReference);
+    range->set_epoch(previous.epoch());
+    return row;
+}
+
+void PartitionOwnership::startTakeover(core::TimePoint now, OwnershipEffects& effects)
+{
+    this->firstTakeover = false;
+    this->takeoverFrom = now + this->settings.takeoverInterval;
+    this->lastOperation += 1;
+    this->takeover.emplace();
+    this->takeover->operation = this->lastOperation;
+    tables::Transaction transaction;
+    transaction.token = "takeover-" + this->settings.stream + "-" + std::to_string(this->lastOperation);
+    const auto count = std::min(this->candidates.size(), this->settings.takeoverRows);
+    for (std::size_t index = 0; index < count; ++index) {
+        const auto partition = this->candidates[index];
+        const auto found = this->rows.find(partition);
+        const auto previous = found == this->rows.end() ? Known {} : found->second;
+        const auto proposed = this->rowAfterTakeover(partition);
+        const auto key = ownerKey(partition);
+        transaction.conditions.push_back({ key, previous.version });
+        transaction.puts.push_back({ key, proposed.SerializeAsString() });
+        this->takeover->rows[partition] = { previous, proposed };
+        this->own[partition] = { PartitionPhase::Taking, proposed.epoch(), now, !previous.row.successor().empty() };
+    }
+    this->candidatesStale = true;
+    this->writes += 1;
+    effects.emplace_back(WriteTransaction { this->lastOperation, std::move(transaction) });
+}
+
+void PartitionOwnership::onTakeover(const TransactionResult& result, core::TimePoint now)
+{
+    this->candidatesStale = true;
+    if (!result) {
+        const auto retryAt = now + this->takeoverBackoff.next(this->generator);
+        this->takeoverFrom = retryAt;
+        if (result.error().code == core::ResultCode::StoreUnavailable) {
+            this->abandonTakeover();
+            return;
+        }
+        this->takeover->operation = 0;
+        this->awaitsScan = true;
+        this->restartScan(retryAt);
+        return;
+    }
+    this->takeoverBackoff.reset();
+    if (!result->committed) {
+        this->abandonTakeover();
+        this->awaitsScan = true;
+        this->restartScan(now);
+        return;
+    }
+    const auto taken = std::move(*this->takeover);
+    this->takeover.reset();
+    for (const auto& [partition, row] : taken.rows) {
+        const auto version = result->versions.find(ownerKey(partition));
+        if (version == result->versions.end()) {
+            this->own.erase(partition); // The next scan shows the row as ours, and it is taken again.
+            this->restartScan(now);
+            continue;
+        }
+        this->startRecovery(partition, { version->second, row.proposed });
+    }
+}
+
+void PartitionOwnership::abandonTakeover()
+{
+    if (this->takeover) {
+        for (const auto& [partition, row] : this->takeover->rows) {
+            const auto found = this->own.find(partition);
+            if (found != this->own.end() && found->second.phase == PartitionPhase::Taking) {
+                this->own.erase(found);
+            }
+        }
+    }
+    this->takeover.reset();
+    this->candidatesStale = true;
+}
+
+void PartitionOwnership::startRecovery(core::PartitionId partition, const Known& taken)
+{
+    this->own.at(partition).phase = PartitionPhase::Recovering;
+    this->rows[partition] = taken;
+    this->references.setRow(partition, taken.row);
+    this->recovery.begin(partition, taken.row);
+}
+
+void PartitionOwnership::tickRecovery(core::TimePoint now, OwnershipEffects& effects)
+{
+    for (auto& effect : this->recovery.tick(now, this->generator, this->lastOperation)) {
+        if (auto* recovered = std::get_if<impl::RecoveredPartition>(&effect)) {
+            this->onRecovered(*recovered, now, effects);
+        } else if (auto* page = std::get_if<ScanRows>(&effect)) {
+            effects.emplace_back(std::move(*page));
+        } else if (auto* object = std::get_if<ReadObject>(&effect)) {
+            effects.emplace_back(std::move(*object));
+        }
+    }
+}
+
+void PartitionOwnership::onRecovered(
+    impl::RecoveredPartition& recovered, core::TimePoint now, OwnershipEffects& effects)
+{
+    const auto partition = recovered.partition;
+    auto& own = this->own.at(partition);
+    const auto& known = this->rows.at(partition);
+    own.phase = PartitionPhase::Owned;
+    // Earlier ranges are read again by each takeover until a snapshot covers them.
+    own.snapshotAt = known.row.earlier().empty() ? now : now - this->settings.snapshotAge;
+    this->references.addSeen(this->recovery.takeSeenLogKeys());
+    effects.emplace_back(PartitionRecovered {
+        partition, own.epoch, known.version, own.takenFromHandOver, std::move(recovered.store) });
+}
+
+void PartitionOwnership::learnRow(core::PartitionId partition, const Known& known, OwnershipEffects& effects)
+{
+    const auto found = this->rows.find(partition);
+    if (found != this->rows.end() && found->second.version >= known.version) {
+        return;
+    }
+    this->candidatesStale = true;
+    const auto owned = this->own.find(partition);
+    const bool sameStream = known.row.stream() == this->settings.stream;
+    if (owned != this->own.end() && owned->second.phase == PartitionPhase::Taking) {
+        if (sameStream && known.row.epoch() == owned->second.epoch && known.row.successor().empty()) {
+            this->startRecovery(partition, known);
+            return;
+        }
+    } else if (owned != this->own.end() && (!sameStream || known.row.epoch() != owned->second.epoch)) {
+        this->endOwnership(partition, false, effects);
+    }
+    this->rows[partition] = known;
+    this->references.setRow(partition, known.row);
+}
+
+void PartitionOwnership::endOwnership(core::PartitionId partition, bool handedOver, OwnershipEffects& effects)
+{
+    const auto found = this->own.find(partition);
+    if (found == this->own.end()) {
+        return;
+    }
+    effects.emplace_back(OwnershipEnded { partition, found->second.epoch, handedOver });
+    this->own.erase(found);
+    this->recovery.cancel(partition);
+    std::erase_if(this->handOvers, [partition](const Successor& item) { return item.partition == partition; });
+    if (this->snapshotAsked == partition) {
+        this->snapshotAsked.reset();
+    }
+    this->candidatesStale = true;
+}
+
+OwnershipEffects PartitionOwnership::onPartitionLost(core::PartitionId partition, core::Epoch heldEpoch)
+{
+    OwnershipEffects effects;
+    const auto found = this->own.find(partition);
+    if (found != this->own.end() && found->second.epoch == heldEpoch) {
+        this->endOwnership(partition, false, effects);
+        this->scan.resumeAt = {}; // Learn the present owner.
+    }
+    return effects;
+}
+
+PartitionPhase PartitionOwnership::phase(core::PartitionId partition) const
+{
+    const auto found = this->own.find(partition);
+    return found == this->own.end() ? PartitionPhase::NotOurs : found->second.phase;
+}
+
+std::string PartitionOwnership::ownerOf(core::PartitionId partition) const
+{
+    const auto found = this->rows.find(partition);
+    if (found == this->rows.end()) {
+        return {};
+    }
+    const auto& row = found->second.row;
+    return row.successor().empty() ? row.node() : row.successor();
+}
+
+std::vector<std::pair<core::PartitionId, std::string>> PartitionOwnership::misplaced() const
+{
+    std::vector<std::pair<core::PartitionId, std::string>> result;
+    for (const auto& [partition, own] : this->own) {
+        const auto preferred = preferredOwner(this->partitions, partition, this->nodes);
+        if (own.phase == PartitionPhase::Owned && preferred && *preferred != this->settings.node) {
+            result.emplace_back(partition, *preferred);
+        }
+    }
+    return result;
+}
+
+} // namespace lagoontiller::state
--- a/source/state/PartitionOwnership.h
+++ b/source/state/PartitionOwnership.h
@@ -8,6 +8,7 @@
 #include "state/impl/Recovery.h"
 #include "state/impl/RowWriter.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -66,10 +67,19 @@
         PartitionPhase phase = PartitionPhase::Taking;
         core::Epoch epoch = 0;
         core::TimePoint snapshotAt;
+        bool takenFromHandOver = false;
+    };
+    struct TakeoverRow {
+        Known previous;
+        records::OwnerRow proposed;
     };
     struct Takeover {
         OperationId operation = 0;
-        std::map<core::PartitionId, Known> rows;
+        std::map<core::PartitionId, TakeoverRow> rows;
+    };
+    struct Successor {
+        core::PartitionId partition = 0;
+        std::string node;
     };
     struct Scan {
         OperationId operation = 0;
@@ -78,21 +88,26 @@
     };
 
     [[nodiscard]] bool isCandidate(core::PartitionId partition) const;
-    [[nodiscard]] const LivingNode* findNode(const std::string& name) const;
+    [[nodiscard]] bool isLiving(const std::string& node) const;
+    void refreshCandidates();
+    [[nodiscard]] records::OwnerRow rowAfterTakeover(core::PartitionId partition) const;
     void tickScan(core::TimePoint now, OwnershipEffects& effects);
+    void restartScan(core::TimePoint at);
+    void finishScan(core::TimePoint now);
     void tickTakeover(core::TimePoint now, OwnershipEffects& effects);
+    void startTakeover(core::TimePoint now, OwnershipEffects& effects);
+    void onTakeover(const TransactionResult& result, core::TimePoint now);
+    void abandonTakeover();
+    void startRecovery(core::PartitionId partition, const Known& taken);
+    void onRecovered(impl::RecoveredPartition& recovered, core::TimePoint now, OwnershipEffects& effects);
     void tickRows(core::TimePoint now, OwnershipEffects& effects);
-    void tickSnapshots(core::TimePoint now, OwnershipEffects& effects);
-    [[nodiscard]] records::OwnerRow rowAfterTakeover(core::PartitionId partition) const;
-    void onScanPage(const RowsResult& result, core::TimePoint now, OwnershipEffects& effects);
-    void onTakeover(const TransactionResult& result, core::TimePoint now, OwnershipEffects& effects);
-    void startRecovery(core::PartitionId partition, const Known& previous, const Known& taken);
-    void learnRow(core::PartitionId partition, Known known, OwnershipEffects& effects);
+    void onRowWritten(const impl::RowWriteOutcome& outcome, core::TimePoint now, OwnershipEffects& effects);
+    void learnRow(core::PartitionId partition, const Known& known, OwnershipEffects& effects);
     void endOwnership(core::PartitionId partition, bool handedOver, OwnershipEffects& effects);
-    void onRowWrite(const impl::RowWriteOutcome& outcome, core::TimePoint now, OwnershipEffects& effects);
-    void collect(impl::RecoveryEffects fromRecovery, core::TimePoint now, OwnershipEffects& effects);
-    void scanSoon(core::TimePoint now);
-    [[nodiscard]] OperationId nextOperation() { return ++this->lastOperation; }
+    void collect(impl::RowWriterEffects from, core::TimePoint now, OwnershipEffects& effects);
+    void tickRecovery(core::TimePoint now, OwnershipEffects& effects);
+    [[nodiscard]] std::vector<std::string> ownLogKeys(std::uint64_t before) const;
+    [[nodiscard]] core::Duration jitter(core::Duration most);
 
     OwnershipSettings settings;
     Partitions partitions;
@@ -105,11 +120,17 @@
     Backoff scanBackoff;
     std::optional<Takeover> takeover;
     Backoff takeoverBackoff;
-    /// \brief Set when the result of a takeover is unknown: no other starts before a scan shows the rows.
-    bool takeoverInDoubt = false;
+    /// \brief Set after a takeover that failed or has an unknown result: no other starts before a complete scan.
+    bool awaitsScan = false;
+    bool firstTakeover = true;
+    bool candidatesStale = true;
+    std::vector<core::PartitionId> candidates;
     std::optional<core::TimePoint> takeoverFrom;
     core::TimePoint nextSnapshot;
-    bool snapshotAsked = false;
+    std::optional<core::PartitionId> snapshotAsked;
+    std::deque<Successor> handOvers;
+    /// \brief Rows of the own stream before this sequence are deleted.
+    std::uint64_t deletedBefore = 1;
     impl::Recovery recovery;
     impl::RowWriter writer;
     impl::LogReferences references;
--- a/source/state/impl/Recovery.h
+++ b/source/state/impl/Recovery.h
@@ -6,7 +6,6 @@
 #include "state/StoreEffects.h"
 
 #include <deque>
-#include <functional>
 #include <map>
 #include <set>
 #include <variant>
@@ -34,7 +33,7 @@
     void prioritise(core::PartitionId partition);
 
     [[nodiscard]] RecoveryEffects tick(core::TimePoint now, Generator& generator, OperationId& lastOperation);
-    [[nodiscard]] bool awaits(OperationId operation) const { return this->awaited.contains(operation); }
+    [[nodiscard]] bool awaits(OperationId operation) const;
     void onRows(OperationId operation, const RowsResult& result, core::TimePoint now, Generator& generator);
     void onObject(OperationId operation, const ObjectResult& result, core::TimePoint now, Generator& generator);
 
@@ -43,6 +42,9 @@
     [[nodiscard]] std::map<std::string, std::set<std::string>> takeSeenLogKeys();
 
 private:
+    static constexpr core::Duration firstBackoff = std::chrono::milliseconds(200);
+    static constexpr core::Duration mostBackoff = std::chrono::seconds(5);
+
     // Entries are applied in the order of their range and sequence once everything is read.
     using Position = std::pair<std::size_t, std::uint64_t>;
     struct Work {
@@ -54,35 +56,33 @@
         std::vector<records::Entry> image;
         std::map<Position, std::vector<records::Entry>> log;
     };
-    struct Member {
-        core::PartitionId partition = 0;
-        std::size_t range = 0;
-        [[nodiscard]] auto operator<=>(const Member&) const = default;
-    };
     /// \brief One pass over a stream, or the read of one snapshot.
     struct Job {
         std::string stream;
         std::string after;
         /// \brief Inclusive end of the longest range.
         std::uint64_t last = 0;
-        std::set<Member> members;
+        /// \brief Range index by the partition and epoch of its entries.
+        std::map<std::pair<core::PartitionId, core::Epoch>, std::size_t> members;
         std::deque<std::pair<std::uint64_t, std::string>> objects;
         bool atEnd = false;
         std::string snapshot;
         OperationId operation = 0;
         core::TimePoint resumeAt;
-        Backoff backoff;
+        Backoff backoff { firstBackoff, mostBackoff };
     };
 
-    void assign(core::TimePoint now);
-    void assignSnapshot(core::PartitionId partition, Work& work, core::TimePoint now);
-    void assignStream(const std::string& stream, core::TimePoint now);
+    void assign();
+    [[nodiscard]] bool assignNext(core::PartitionId partition, Work& work);
+    void assignStream(const std::string& stream);
     [[nodiscard]] bool takeRead(core::TimePoint now);
     void issue(Job& job, OperationId& lastOperation, RecoveryEffects& effects);
-    void readPage(Job& job, const std::vector<tables::Row>& rows, core::TimePoint now);
-    void addBatch(const Job& job, std::uint64_t sequence, const std::string& bytes);
-    void finishJob(Job& job);
-    [[nodiscard]] bool isDone(const Job& job) const;
+    [[nodiscard]] Job* findJob(OperationId operation);
+    [[nodiscard]] bool readPage(Job& job, const std::vector<tables::Row>& rows);
+    [[nodiscard]] bool addBatch(const Job& job, std::uint64_t sequence, const std::string& bytes);
+    [[nodiscard]] bool addSnapshot(const Job& job, const std::string& bytes);
+    [[nodiscard]] static bool isDone(const Job& job);
+    void finishJobs();
     void takeFinished(RecoveryEffects& effects);
 
     std::uint32_t readsPerSecond;
@@ -90,7 +90,6 @@
     std::map<core::PartitionId, Work> works;
     std::deque<core::PartitionId> order;
     std::deque<Job> jobs;
-    std::set<OperationId> awaited;
     std::map<std::string, std::set<std::string>> seen;
     double allowance = 0;
     std::optional<core::TimePoint> lastRefill;
--- a/source/state/impl/RowWriter.h
+++ b/source/state/impl/RowWriter.h
@@ -51,10 +51,10 @@
     [[nodiscard]] bool idle() const noexcept { return !this->current; }
     [[nodiscard]] std::optional<core::PartitionId> partition() const;
     /// \brief Starts a write; only when idle.
-    void start(RowWrite write, core::TimePoint now);
+    void start(RowWrite write);
 
     [[nodiscard]] RowWriterEffects tick(core::TimePoint now, OperationId& lastOperation);
-    [[nodiscard]] bool awaits(OperationId operation) const;
+    [[nodiscard]] bool awaits(OperationId operation) const { return operation != 0 && this->operation == operation; }
     [[nodiscard]] RowWriterEffects onObjectWritten(
         const WriteResult& result, core::TimePoint now, Generator& generator);
     [[nodiscard]] RowWriterEffects onTransaction(
