Add the poison ledger

Cause: a request that crashes its endpoints must be isolated after two losses without isolating the requests beside it. Change: losses are kept with the digests present on them, from this node and from notices. A loss does not count against a digest where another digest explains it or where it belongs to a rack or zone failure. Suspects run on one endpoint at a time and apart from each other. Conclusion: two digests that share exactly the same two losses are both isolated; the placement of suspects prevents this on one node.

--- /dev/null
+++ b/source/policy/PoisonLedger.cpp
@@ -0,0 +1,220 @@
+#include "policy/PoisonLedger.h"
+
+#include <algorithm>
+
+namespace lagoontiller::policy {
+
+namespace {
+
+void eraseOne(std::multimap<std::string, std::string>& map, const std::string& key, const std::string& value)
+{
+    const auto [first, last] = map.equal_range(key);
+    const auto found = std::find_if(first, last, [&value](const auto& each) { return each.second == value; });
+    if (found != last) {
+        map.erase(found);
+    }
+}
+
+bool hasOther(const std::multimap<std::string, std::string>& map, const std::string& key, const std::string& value)
+{
+    const auto [first, last] = map.equal_range(key);
+    return std::any_of(first, last, [&value](const auto& each) { return each.second != value; });
+}
+
+} // namespace
+
+PoisonNotice PoisonLedger::endpointLost(
+    const std::string& endpoint, std::span<const std::string> digests, core::TimePoint now)
+{
+    const auto reported = digests.first(std::min(digests.size(), this->options.maximumDigestsPerLoss));
+    this->record(endpoint, reported, now);
+    return { endpoint, { reported.begin(), reported.end() }, {} };
+}
+
+void PoisonLedger::merge(const PoisonNotice& notice, core::TimePoint now)
+{
+    if (notice.age < this->options.isolation) {
+        this->record(notice.endpoint, notice.digests, now - notice.age);
+    }
+}
+
+void PoisonLedger::succeeded(const std::string& digest, core::TimePoint now)
+{
+    if (this->verdict(digest, now) == PoisonVerdict::Suspect) {
+        this->dropDigest(digest);
+    }
+}
+
+PoisonVerdict PoisonLedger::verdict(const std::string& digest, core::TimePoint now) const
+{
+    const auto entry = this->digests.find(digest);
+    if (entry == this->digests.end()) {
+        return PoisonVerdict::Clear;
+    }
+    const core::Duration age = now - entry->second.losses.rbegin()->first;
+    if (age < this->options.isolation && this->isolated(digest, entry->second)) {
+        return PoisonVerdict::Isolated;
+    }
+    return age < this->options.window ? PoisonVerdict::Suspect : PoisonVerdict::Clear;
+}
+
+bool PoisonLedger::mayRun(const std::string& digest, const std::string& endpoint, core::TimePoint now) const
+{
+    switch (this->verdict(digest, now)) {
+    case PoisonVerdict::Clear:
+        return true;
+    case PoisonVerdict::Suspect:
+        return !hasOther(this->running, digest, endpoint) && !hasOther(this->runningByEndpoint, endpoint, digest);
+    default:
+        return false;
+    }
+}
+
+void PoisonLedger::suspectStarted(const std::string& digest, const std::string& endpoint)
+{
+    this->running.emplace(digest, endpoint);
+    this->runningByEndpoint.emplace(endpoint, digest);
+}
+
+void PoisonLedger::suspectEnded(const std::string& digest, const std::string& endpoint)
+{
+    eraseOne(this->running, digest, endpoint);
+    eraseOne(this->runningByEndpoint, endpoint, digest);
+}
+
+void PoisonLedger::tick(core::TimePoint now)
+{
+    while (!this->losses.empty() && now - this->losses.begin()->first.first >= this->options.isolation) {
+        this->dropLoss(this->losses.begin());
+    }
+    std::vector<std::string> expired;
+    for (const auto& [digest, entry] : this->digests) {
+        if (this->verdict(digest, now) == PoisonVerdict::Clear) {
+            expired.push_back(digest);
+        }
+    }
+    for (const std::string& digest : expired) {
+        this->dropDigest(digest);
+    }
+}
+
+void PoisonLedger::record(const std::string& endpoint, std::span<const std::string> present, core::TimePoint at)
+{
+    if (present.empty()) {
+        return;
+    }
+    const auto loss = this->findOrAddLoss(endpoint, at);
+    const LossKey key = loss->first;
+    for (const std::string& digest : present) {
+        if (loss->second.size() >= this->options.maximumDigestsPerLoss) {
+            break;
+        }
+        if (!loss->second.insert(digest).second) {
+            continue;
+        }
+        Entry& entry = this->digests[digest];
+        if (!entry.losses.empty()) {
+            this->eviction.erase(evictionKey(digest, entry));
+        }
+        entry.losses.insert(key);
+        this->eviction.insert(evictionKey(digest, entry));
+    }
+    while (this->digests.size() > this->options.maximumDigests) {
+        this->dropDigest(std::get<2>(*this->eviction.begin()));
+    }
+    while (this->losses.size() > this->options.maximumLosses) {
+        this->dropLoss(this->losses.begin());
+    }
+}
+
+PoisonLedger::LossMap::iterator PoisonLedger::findOrAddLoss(const std::string& endpoint, core::TimePoint at)
+{
+    const auto last = this->losses.upper_bound({ at + this->options.sameLoss, endpoint });
+    for (auto loss = this->losses.lower_bound({ at - this->options.sameLoss, "" }); loss != last; ++loss) {
+        if (loss->first.second == endpoint) {
+            return loss;
+        }
+    }
+    return this->losses.try_emplace({ at, endpoint }).first;
+}
+
+void PoisonLedger::dropLoss(LossMap::iterator loss)
+{
+    for (const std::string& digest : loss->second) {
+        Entry& entry = this->digests.at(digest);
+        this->eviction.erase(evictionKey(digest, entry));
+        entry.losses.erase(loss->first);
+        if (entry.losses.empty()) {
+            this->digests.erase(digest);
+        } else {
+            this->eviction.insert(evictionKey(digest, entry));
+        }
+    }
+    this->losses.erase(loss);
+}
+
+void PoisonLedger::dropDigest(const std::string& digest)
+{
+    // The argument may refer to a key that is erased below.
+    const std::string dropped = digest;
+    const auto entry = this->digests.find(dropped);
+    this->eviction.erase(evictionKey(dropped, entry->second));
+    for (const LossKey& key : entry->second.losses) {
+        const auto loss = this->losses.find(key);
+        loss->second.erase(dropped);
+        if (loss->second.empty()) {
+            this->losses.erase(loss);
+        }
+    }
+    this->digests.erase(entry);
+}
+
+PoisonLedger::EvictionKey PoisonLedger::evictionKey(const std::string& digest, const Entry& entry)
+{
+    return { entry.losses.size() > 1, entry.losses.rbegin()->first, digest };
+}
+
+std::pair<std::size_t, std::size_t> PoisonLedger::rank(const std::string& digest) const
+{
+    const Entry& entry = this->digests.at(digest);
+    const auto alone = [this](const LossKey& key) { return this->losses.at(key).size() == 1; };
+    const auto count = std::count_if(entry.losses.begin(), entry.losses.end(), alone);
+    return { entry.losses.size(), static_cast<std::size_t>(count) };
+}
+
+bool PoisonLedger::explained(const std::string& digest, const LossKey& loss) const
+{
+    const auto own = this->rank(digest);
+    const auto& present = this->losses.at(loss);
+    return std::any_of(present.begin(), present.end(),
+        [&](const std::string& other) { return other != digest && this->rank(other) > own; });
+}
+
+bool PoisonLedger::ofPlatform(const std::string& digest, const LossKey& loss) const
+{
+    std::size_t total = 0;
+    std::size_t withDigest = 0;
+    const auto last = this->losses.upper_bound({ loss.first + this->options.burst, "" });
+    for (auto each = this->losses.lower_bound({ loss.first - this->options.burst, "" }); each != last; ++each) {
+        total += 1;
+        withDigest += each->second.contains(digest) ? 1 : 0;
+    }
+    return total >= this->options.burstLosses && withDigest * 2 < total;
+}
+
+bool PoisonLedger::isolated(const std::string& digest, const Entry& entry) const
+{
+    const LossKey* previous = nullptr;
+    for (const LossKey& loss : entry.losses) {
+        if (entry.losses.size() < 2 || this->explained(digest, loss) || this->ofPlatform(digest, loss)) {
+            continue;
+        }
+        if (previous != nullptr && loss.first - previous->first <= this->options.window) {
+            return true;
+        }
+        previous = &loss;
+    }
+    return false;
+}
+
+} // namespace lagoontiller::policy
--- /dev/null
+++ b/tests/PoisonTests.cpp
@@ -0,0 +1,162 @@
+#include "policy/PoisonLedger.h"
+
+namespace lagoontiller::policy {
+
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const core::TimePoint start { std::chrono::hours(10) };
+
+struct Loss {
+    int second;
+    std::string endpoint;
+    std::vector<std::string> digests;
+};
+
+struct PoisonCase {
+    std::string name;
+    std::vector<Loss> losses;
+    std::map<std::string, PoisonVerdict> expected;
+};
+
+} // namespace
+
+class PoisonTable : public testing::TestWithParam<PoisonCase> { };
+
+// Guards against a poison request that crashes a third endpoint, and against isolating the requests beside it. Every
+// second loss arrives as a notice of another node, which must make no difference.
+TEST_P(PoisonTable, IsolatesTheCause)
+{
+    PoisonLedger ledger;
+    bool local = true;
+    for (const Loss& loss : GetParam().losses) {
+        const core::TimePoint at = start + seconds(loss.second);
+        if (local) {
+            ledger.endpointLost(loss.endpoint, loss.digests, at);
+        } else {
+            ledger.merge({ loss.endpoint, loss.digests, seconds(1) }, at + seconds(1));
+        }
+        local = !local;
+    }
+    const core::TimePoint now = start + seconds(GetParam().losses.back().second + 2);
+    for (const auto& [digest, verdict] : GetParam().expected) {
+        EXPECT_EQ(ledger.verdict(digest, now), verdict) << digest;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, PoisonTable,
+    testing::Values(
+        PoisonCase { "OneLoss", { { 0, "e1", { "p", "b" } } },
+            { { "p", PoisonVerdict::Suspect }, { "b", PoisonVerdict::Suspect }, { "x", PoisonVerdict::Clear } } },
+        PoisonCase { "TwoLosses", { { 0, "e1", { "p", "b" } }, { 20, "e2", { "p", "c" } } },
+            { { "p", PoisonVerdict::Isolated }, { "b", PoisonVerdict::Suspect }, { "c", PoisonVerdict::Suspect } } },
+        PoisonCase { "OneLossSeenByTwoNodes", { { 0, "e1", { "p" } }, { 3, "e1", { "p" } } },
+            { { "p", PoisonVerdict::Suspect } } },
+        PoisonCase { "SameEndpointLostAgainAfterRestart", { { 0, "e1", { "p" } }, { 60, "e1", { "p" } } },
+            { { "p", PoisonVerdict::Isolated } } },
+        PoisonCase {
+            "OutsideTheWindow", { { 0, "e1", { "p" } }, { 601, "e2", { "p" } } }, { { "p", PoisonVerdict::Suspect } } },
+        PoisonCase { "BystanderTwiceExplainedByMoreLosses",
+            { { 0, "e1", { "p", "b" } }, { 20, "e2", { "p", "b" } }, { 21, "e3", { "p", "c" } } },
+            { { "p", PoisonVerdict::Isolated }, { "b", PoisonVerdict::Suspect }, { "c", PoisonVerdict::Suspect } } },
+        PoisonCase { "BystanderTwiceExplainedByLossAlone",
+            { { 0, "e1", { "p", "b" } }, { 20, "e2", { "b", "c" } }, { 40, "e3", { "p" } } },
+            { { "p", PoisonVerdict::Isolated }, { "b", PoisonVerdict::Suspect }, { "c", PoisonVerdict::Suspect } } },
+        PoisonCase { "ZoneFailureIsNotPoison",
+            { { 0, "e1", { "a" } }, { 0, "e2", { "b" } }, { 1, "e3", { "a" } }, { 1, "e4", { "c" } },
+                { 2, "e5", { "d" } } },
+            { { "a", PoisonVerdict::Suspect }, { "b", PoisonVerdict::Suspect } } },
+        PoisonCase { "PoisonSentByManyCallersAtOnce",
+            { { 0, "e1", { "p", "a" } }, { 0, "e2", { "p", "b" } }, { 1, "e3", { "p", "c" } }, { 1, "e4", { "p" } },
+                { 2, "e5", { "p", "a" } } },
+            { { "p", PoisonVerdict::Isolated }, { "a", PoisonVerdict::Suspect }, { "b", PoisonVerdict::Suspect } } }),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a suspect on two endpoints at once, and against two suspects whose next loss would be ambiguous.
+TEST(PoisonSuspect, RunsOnOneEndpointApartFromOtherSuspects)
+{
+    PoisonLedger ledger;
+    const std::vector<std::string> present { "p", "b" };
+    const PoisonNotice notice = ledger.endpointLost("e1", present, start);
+    EXPECT_EQ(notice, (PoisonNotice { "e1", present, seconds(0) }));
+    EXPECT_TRUE(ledger.mayRun("p", "e2", start));
+    ledger.suspectStarted("p", "e2");
+    EXPECT_FALSE(ledger.mayRun("p", "e3", start));
+    EXPECT_TRUE(ledger.mayRun("p", "e2", start));
+    EXPECT_FALSE(ledger.mayRun("b", "e2", start));
+    EXPECT_TRUE(ledger.mayRun("b", "e3", start));
+    EXPECT_TRUE(ledger.mayRun("other", "e2", start));
+    ledger.suspectEnded("p", "e2");
+    EXPECT_TRUE(ledger.mayRun("p", "e3", start));
+    ledger.succeeded("b", start);
+    EXPECT_EQ(ledger.verdict("b", start), PoisonVerdict::Clear);
+    ledger.endpointLost("e2", std::vector<std::string> { "p" }, start + seconds(30));
+    ledger.succeeded("p", start + seconds(31));
+    EXPECT_FALSE(ledger.mayRun("p", "e3", start + seconds(31))) << "an isolated digest stays isolated";
+}
+
+// Guards against suspicion and isolation that never end.
+TEST(PoisonExpiry, EndsSuspicionAndIsolation)
+{
+    PoisonLedger ledger;
+    ledger.endpointLost("e1", std::vector<std::string> { "p", "b" }, start);
+    ledger.endpointLost("e2", std::vector<std::string> { "p" }, start + minutes(1));
+    ledger.tick(start + minutes(11));
+    EXPECT_EQ(ledger.verdict("b", start + minutes(11)), PoisonVerdict::Clear);
+    EXPECT_EQ(ledger.verdict("p", start + minutes(59)), PoisonVerdict::Isolated);
+    EXPECT_EQ(ledger.verdict("p", start + minutes(61)), PoisonVerdict::Clear);
+    ledger.tick(start + minutes(61));
+    EXPECT_EQ(ledger.size(), 0U);
+}
+
+// Guards against a third loss of an endpoint to one digest, whatever ran beside it, when its losses are not shared with
+// other suspects and are no platform failure.
+RC_GTEST_PROP(Poison, IsIsolatedAfterTwoLossesAndBystandersAreNot, ())
+{
+    PoisonLedger ledger;
+    core::TimePoint now = start;
+    int fresh = 0;
+    for (int loss = 0; loss < 2; ++loss) {
+        RC_ASSERT(ledger.verdict("poison", now) != PoisonVerdict::Isolated);
+        std::vector<std::string> present { "poison" };
+        for (int i = *rc::gen::inRange(0, 20); i > 0; --i) {
+            present.push_back("bystander" + std::to_string(fresh++));
+        }
+        ledger.endpointLost("e" + std::to_string(loss), present, now);
+        now += seconds(*rc::gen::inRange(0, 600));
+    }
+    RC_ASSERT(ledger.verdict("poison", now) == PoisonVerdict::Isolated);
+    for (int i = 0; i < fresh; ++i) {
+        RC_ASSERT(ledger.verdict("bystander" + std::to_string(i), now) != PoisonVerdict::Isolated);
+    }
+}
+
+// Guards against unbounded memory and against broken links between losses and digests.
+RC_GTEST_PROP(Poison, StaysBounded, (const std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>>& events))
+{
+    PoisonOptions options;
+    options.maximumDigests = 12;
+    options.maximumLosses = 6;
+    options.maximumDigestsPerLoss = 4;
+    PoisonLedger ledger(options);
+    core::TimePoint now = start;
+    for (const auto& [endpoint, digest, count] : events) {
+        now += seconds(count);
+        std::vector<std::string> present;
+        for (int i = 0; i < count % 7; ++i) {
+            present.push_back(std::to_string((digest + i * i) % 40));
+        }
+        ledger.endpointLost(std::to_string(endpoint % 9), present, now);
+        if (count % 3 == 0) {
+            ledger.succeeded(std::to_string(digest % 40), now);
+            ledger.tick(now);
+        }
+        RC_ASSERT(ledger.size() <= 12U);
+    }
+    ledger.tick(now + std::chrono::hours(2));
+    RC_ASSERT(ledger.size() == 0U);
+}
+
+} // namespace lagoontiller::policy
