--- /dev/null
+++ b/source/policy/LoadForecast.cpp
@@ -0,0 +1,57 @@
+#include "policy/LoadForecast.h"
+
+#include <algorithm>
+
+namespace lagoontiller::policy {
+
+namespace {
+
+double burstRatio(const BurstAwareSmoothing& forecast, const LoadObservation& observation)
+{
+    if (observation.served <= 0) {
+        return observation.queued > 0 ? forecast.maximumRatio : 1;
+    }
+    return std::clamp(observation.queued / observation.served, 0.0, forecast.maximumRatio);
+}
+
+struct Observe {
+    const LoadObservation& observation;
+
+    LoadForecast operator()(LastValue) const { return LastValue { this->observation.load }; }
+
+    LoadForecast operator()(PlainSmoothing next) const
+    {
+        next.forecast = next.started ? next.alpha * this->observation.load + (1 - next.alpha) * next.forecast
+                                     : this->observation.load;
+        next.started = true;
+        return next;
+    }
+
+    LoadForecast operator()(BurstAwareSmoothing next) const
+    {
+        if (!next.started) {
+            next.started = true;
+            next.forecast = this->observation.load;
+            return next;
+        }
+        const double ratio = burstRatio(next, this->observation);
+        const bool burst = ratio < next.beta || ratio > next.gamma;
+        const double weight = burst ? ratio - 1 + next.alpha : next.alpha;
+        next.forecast = std::max(0.0, weight * this->observation.load + (1 - next.alpha) * next.forecast);
+        return next;
+    }
+};
+
+} // namespace
+
+LoadForecast observed(const LoadForecast& forecast, const LoadObservation& observation)
+{
+    return std::visit(Observe { observation }, forecast);
+}
+
+double forecastOf(const LoadForecast& forecast)
+{
+    return std::visit([](const auto& each) { return each.forecast; }, forecast);
+}
+
+} // namespace lagoontiller::policy
