--- /dev/null
+++ b/bench/fakes/Trace.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/Error.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lagoontiller::fakes {
+
+struct TraceStep;
+
+/// \brief A model call. `messages` are added to the history of the program.
+struct TraceTurn {
+    std::string model;
+    nlohmann::json messages;
+    std::uint64_t maxTokens = 0;
+    bool stream = false;
+    /// \brief Send the new messages only (`X-History: append`) in place of the whole history.
+    bool append = false;
+    std::string expectedText;
+    /// \brief Name of the result code when the turn must be refused; otherwise empty.
+    std::string refused;
+};
+
+struct TraceCall {
+    std::string service;
+    std::string path;
+    nlohmann::json body;
+    bool repeatable = false;
+    std::string key;
+    std::string refused;
+};
+
+struct TracePause {
+    std::chrono::milliseconds length { 0 };
+};
+
+/// \brief Steps of a sub-agent; the parent continues after them.
+struct TraceSubAgent {
+    std::string name;
+    std::vector<TraceStep> steps;
+};
+
+struct TraceEnd { };
+
+struct TraceStep {
+    std::variant<TraceTurn, TraceCall, TracePause, TraceSubAgent, TraceEnd> action;
+};
+
+struct TraceProgram {
+    std::string name;
+    std::string customer;
+    std::string programClass;
+    std::string region;
+    std::vector<TraceStep> steps;
+};
+
+/// \brief A recorded trace: one JSON line about the deployment, then one line for each program.
+struct Trace {
+    std::string deployment;
+    /// \brief Limits of the classes that the stated refusals depend on, by class name.
+    nlohmann::json classes;
+    std::vector<TraceProgram> programs;
+};
+
+/// \brief Reads a trace; a fault names its line.
+[[nodiscard]] core::Expected<Trace> parseTrace(const std::string& text);
+
+} // namespace lagoontiller::fakes
--- a/standins/Commands.h
+++ b/standins/Commands.h
@@ -5,6 +5,8 @@
 /// \brief The commands of the program. Each gets the arguments from its own name on and returns the exit status:
 /// 0 success, 1 usage or a stated outcome that does not hold, 4 an address or file that is unavailable.
 [[nodiscard]] int runStandins(int argc, char** argv);
+/// \brief Writes the expected texts into a trace.
+[[nodiscard]] int stateOutcomes(int argc, char** argv);
 [[nodiscard]] int replayTrace(int argc, char** argv);
 [[nodiscard]] int generateLoad(int argc, char** argv);
 
--- /dev/null
+++ b/standins/EntryList.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "core/Time.h"
+#include "standins/HttpClient.h"
+
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace lagoontiller::standins {
+
+struct Entry {
+    std::string address;
+    std::string region;
+};
+
+/// \brief The entry nodes as `/v1/entries` gives them, kept for `keep_seconds`. Shared by all callers.
+class EntryList {
+public:
+    explicit EntryList(std::vector<std::string> seeds);
+
+    /// \brief An entry in `region` when there is one, else another. `spread` distributes the
+    /// programs over the entries, and each `attempt` selects a different one.
+    ///
+    /// With `refresh` the list is read again even if the kept answer is still valid.
+    [[nodiscard]] std::string choose(HttpClient& client, const std::string& key, const std::string& region,
+        std::size_t spread, std::size_t attempt, bool refresh);
+
+private:
+    [[nodiscard]] bool fetch(HttpClient& client, const std::string& key, const std::string& address);
+    void fetchAny(HttpClient& client, const std::string& key);
+
+    std::mutex mutex;
+    std::vector<std::string> seeds;
+    std::vector<Entry> entries;
+    core::TimePoint validUntil;
+    core::TimePoint fetchedAt;
+};
+
+} // namespace lagoontiller::standins
--- a/standins/HttpServer.cpp
+++ b/standins/HttpServer.cpp
@@ -62,7 +62,8 @@
 
     [[nodiscard]] const HttpRequest& request() const noexcept override { return this->converted; }
 
-    void answer(int status, const std::string& body, const std::string& contentType) override
+    void answer(
+        int status, const std::string& body, const std::string& contentType, const HttpHeaders& headers) override
     {
         if (!this->active || this->silent || this->stream)
             return;
@@ -70,6 +71,8 @@
         auto builder = this->handle->create_response<restinio::restinio_controlled_output_t>(
             { restinio::http_status_code_t(status), status < 400 ? "OK" : "Refused" });
         builder.append_header("Content-Type", contentType);
+        for (const auto& [name, value] : headers)
+            builder.append_header(name, value);
         builder.set_body(body);
         builder.done();
         this->connection.reset();
--- a/standins/HttpServer.h
+++ b/standins/HttpServer.h
@@ -35,7 +35,9 @@
 
     [[nodiscard]] virtual const HttpRequest& request() const noexcept = 0;
     /// \brief Sends a whole answer.
-    virtual void answer(int status, const std::string& body, const std::string& contentType = "application/json") = 0;
+    virtual void answer(int status, const std::string& body, const std::string& contentType = "application/json",
+        const HttpHeaders& headers = {})
+        = 0;
     /// \brief Starts a chunked answer.
     virtual void startStream(const std::string& contentType) = 0;
     virtual void send(const std::string& chunk) = 0;
--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -15,7 +15,11 @@
     const std::string_view command = argc > 1 ? argv[1] : "";
     if (command == "run")
         return runStandins(argc - 1, argv + 1);
-    std::cerr << "usage: lagoontiller-standins run|replay|load [--help]\n";
+    if (command == "replay")
+        return replayTrace(argc - 1, argv + 1);
+    if (command == "state")
+        return stateOutcomes(argc - 1, argv + 1);
+    std::cerr << "usage: lagoontiller-standins run|replay|load|state [--help]\n";
     return usageStatus;
 }
 
--- a/standins/RunCommand.cpp
+++ b/standins/RunCommand.cpp
@@ -1,5 +1,6 @@
 #include "standins/Commands.h"
 #include "standins/EngineStandin.h"
+#include "standins/EntryStandin.h"
 #include "standins/PlainStandins.h"
 #include "standins/StandinConfig.h"
 #include "standins/StoreStandins.h"
@@ -8,6 +9,7 @@
 
 #include <csignal>
 #include <cxxopts.hpp>
+#include <fstream>
 #include <iostream>
 #include <thread>
 
@@ -69,7 +71,7 @@
         return std::make_unique<WeightStandin>(
             loop, name, address, delay, section.count("bytes_per_second", 100'000'000));
     throw std::runtime_error("[" + section.kind + " " + section.name
-        + "]: the kind is one of run, control, engine, service, table, objects, vmlist, weights");
+        + "]: the kind is one of run, control, engine, service, table, objects, vmlist, weights, entry");
 }
 
 /// \brief All stand-ins of the process with their loops and threads.
@@ -114,7 +116,9 @@
 private:
     void add(ConfigSection& section)
     {
-        if (section.kind != "run" && section.kind != "control") {
+        if (section.kind == "entry") {
+            this->addEntries(section);
+        } else if (section.kind != "run" && section.kind != "control") {
             const auto first = section.text("address");
             const auto copies = section.count("count", 1);
             for (std::uint64_t index = 0; index < copies; ++index) {
@@ -129,6 +133,26 @@
         section.checkKeys();
     }
 
+    void addEntries(ConfigSection& section)
+    {
+        // The first line of a trace has the limits of its classes.
+        std::ifstream trace(section.text("trace"));
+        std::string line;
+        std::getline(trace, line);
+        const auto head = json::parse(line.empty() ? "{}" : line);
+        const auto model = std::make_shared<fakes::EntryModel>(
+            head.value("classes", json::object()), head.value("customers", json::object()));
+        const auto delay = fromMilliseconds(section.number("delay_ms", 0));
+        std::vector<std::string> addresses;
+        for (std::uint64_t index = 0; index < section.count("count", 1); ++index)
+            addresses.push_back(addressAt(section.text("address"), index));
+        for (const auto& address : addresses) {
+            auto& loop = *this->loops[this->standins.size() % this->loops.size()];
+            const auto name = section.name + "-" + std::to_string(this->standins.size() + 1);
+            this->standins.push_back(std::make_unique<EntryStandin>(loop, name, address, delay, model, addresses));
+        }
+    }
+
     // The control address reaches a stand-in that does not listen: `/control?name=NAME`.
     void control(const ExchangePointer& exchange)
     {
--- a/standins/Standin.cpp
+++ b/standins/Standin.cpp
@@ -17,7 +17,7 @@
     }
 
     [[nodiscard]] const HttpRequest& request() const noexcept override { return this->inner->request(); }
-    void answer(int, const std::string&, const std::string&) override { this->inner->abort(); }
+    void answer(int, const std::string&, const std::string&, const HttpHeaders&) override { this->inner->abort(); }
     void startStream(const std::string&) override { this->inner->abort(); }
     void send(const std::string&) override { }
     void finish() override { }
