--- a/source/command/Main.cpp
+++ b/source/command/Main.cpp
@@ -1,6 +1,7 @@
 #include "command/CheckCommand.h"
 #include "command/ExitStatus.h"
 #include "command/HashKeyCommand.h"
+#include "command/ServeCommand.h"
 
 #include <algorithm>
 #include <array>
@@ -19,6 +20,7 @@
 };
 
 constexpr std::array subCommands {
+    SubCommand { "serve", "Run one node", lagoontiller::command::runServe },
     SubCommand { "check", "List every fault of a document or settings file", lagoontiller::command::runCheck },
     SubCommand { "hash-key", "Print the salt and hash lines of a new or given key", lagoontiller::command::runHashKey },
 };
--- /dev/null
+++ b/source/control/AnswerStream.cpp
@@ -0,0 +1,111 @@
+#include "control/AnswerStream.h"
+
+namespace lagoontiller::control {
+
+AnswerStream::AnswerStream(AnswerForm answerForm)
+    : form(std::move(answerForm))
+    , head { this->form.requestId, this->form.model, this->form.createdUnixSeconds }
+{
+}
+
+http::Headers AnswerStream::headers() const
+{
+    return { { "X-Program-Id", this->form.program }, { "X-Turn", std::to_string(this->form.turn) },
+        { "X-Request-Id", this->form.requestId } };
+}
+
+void AnswerStream::begin(Subscriber& subscriber) const
+{
+    if (subscriber.response->begun())
+        return;
+    auto headers = this->headers();
+    headers.push_back({ "Content-Type", "text/event-stream" });
+    headers.push_back({ "Cache-Control", "no-cache" });
+    subscriber.response->begin(200, headers);
+}
+
+void AnswerStream::sendText(Subscriber& subscriber, const std::string& text) const
+{
+    if (!subscriber.stream || subscriber.response->gone())
+        return;
+    this->begin(subscriber);
+    subscriber.response->data(callers::textChunk(this->head, text));
+}
+
+void AnswerStream::subscribe(CallId call, callers::ResponseStreamPointer response, bool stream)
+{
+    const std::lock_guard lock(this->mutex);
+    auto& subscriber
+        = this->subscribers.insert_or_assign(call, Subscriber { std::move(response), stream }).first->second;
+    if (!this->generated.empty())
+        this->sendText(subscriber, this->generated);
+    if (!this->finishEvent.empty() && stream) {
+        this->begin(subscriber);
+        subscriber.response->data(this->finishEvent);
+    }
+}
+
+void AnswerStream::addText(const std::string& text)
+{
+    const std::lock_guard lock(this->mutex);
+    this->generated += text;
+    for (auto& [call, subscriber] : this->subscribers)
+        this->sendText(subscriber, text);
+}
+
+std::string AnswerStream::text() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->generated;
+}
+
+void AnswerStream::finish(const std::string& finishChunk)
+{
+    const std::lock_guard lock(this->mutex);
+    this->finishEvent = finishChunk;
+    for (auto& [call, subscriber] : this->subscribers) {
+        if (!subscriber.stream)
+            continue;
+        this->begin(subscriber);
+        subscriber.response->data(finishChunk);
+    }
+}
+
+void AnswerStream::close(CallId call, const std::string& commitState, const std::string& body)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->subscribers.find(call);
+    if (found == this->subscribers.end())
+        return;
+    auto& subscriber = found->second;
+    if (subscriber.stream) {
+        subscriber.response->data(callers::commitEvents(this->form.program, this->form.turn, commitState));
+        subscriber.response->end(true);
+    } else {
+        auto headers = this->headers();
+        headers.push_back({ "Content-Type", "application/json" });
+        headers.push_back({ "X-Commit-State", commitState });
+        subscriber.response->whole(200, headers, body);
+    }
+    this->subscribers.erase(found);
+}
+
+void AnswerStream::refuse(CallId call, const core::Error& error, std::uint64_t retryAfterMs)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->subscribers.find(call);
+    if (found == this->subscribers.end())
+        return;
+    auto& response = *found->second.response;
+    const auto body = callers::refusalBody(error, retryAfterMs);
+    if (response.begun()) {
+        // A stream without "data: [DONE]" is incomplete; the event says why.
+        response.data("event: error\ndata: " + body + "\n\n");
+        response.end(false);
+    } else {
+        response.whole(core::httpStatus(error.code), callers::refusalHeaders(error, retryAfterMs), body);
+    }
+    this->subscribers.erase(found);
+}
+
+} // namespace lagoontiller::control
--- /dev/null
+++ b/source/control/Call.cpp
@@ -0,0 +1,50 @@
+#include "control/Call.h"
+
+namespace lagoontiller::control {
+
+Call& CallTable::add(Call call)
+{
+    const auto id = call.id;
+    return this->calls.insert_or_assign(id, std::move(call)).first->second;
+}
+
+Call* CallTable::find(CallId id)
+{
+    const auto found = this->calls.find(id);
+    return found == this->calls.end() ? nullptr : &found->second;
+}
+
+Call* CallTable::findAttempt(AttemptId attempt)
+{
+    const auto found = this->attempts.find(attempt);
+    return found == this->attempts.end() ? nullptr : this->find(found->second);
+}
+
+void CallTable::setAttempt(Call& call, AttemptId attempt)
+{
+    this->attempts.erase(call.attempt);
+    call.attempt = attempt;
+    if (attempt != 0)
+        this->attempts.emplace(attempt, call.id);
+}
+
+void CallTable::erase(CallId id)
+{
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end())
+        return;
+    this->attempts.erase(found->second.attempt);
+    this->calls.erase(found);
+}
+
+bool CallTable::hasCallsOf(core::PartitionId partition) const
+{
+    for (const auto& [id, call] : this->calls) {
+        if (call.partition == partition && call.phase != CallPhase::Forwarded
+            && call.phase != CallPhase::AwaitsPartition)
+            return true;
+    }
+    return false;
+}
+
+} // namespace lagoontiller::control
--- /dev/null
+++ b/source/control/Controller.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "control/Entry.h"
+#include "control/Events.h"
+#include "control/Programs.h"
+#include "control/ServiceCalls.h"
+#include "control/Turns.h"
+
+namespace lagoontiller::control {
+
+/// \brief All decisions of a node as one state machine: events in, effects out.
+///
+/// It reads no clock, opens no socket and starts no thread, so the server and the tests under virtual time run the same
+/// code. Not thread-safe; the control thread owns it.
+class Controller {
+public:
+    Controller(ControllerSettings settings, core::MetricRegistry& metrics, core::TimePoint now);
+
+    /// \brief `unixMs` is the wall clock in milliseconds since the Unix epoch; it enters records only.
+    [[nodiscard]] Effects handle(const Event& event, core::TimePoint now, std::int64_t unixMs);
+
+    [[nodiscard]] const Context& state() const noexcept { return this->context; }
+
+private:
+    void on(const CallArrived& event, core::TimePoint now);
+    void on(const GenerationStarted& event, core::TimePoint now);
+    void on(const GenerationFinished& event, core::TimePoint now);
+    void on(const GenerationFailed& event, core::TimePoint now);
+    void on(const ServiceFinished& event, core::TimePoint now);
+    void on(const MemoryReleased& event, core::TimePoint now);
+    void on(const ForwardAnswered& event, core::TimePoint now);
+    void on(const ForwardFailed& event, core::TimePoint now);
+    void on(const TransactionReplied& event, core::TimePoint now);
+    void on(const ObjectWritten& event, core::TimePoint now);
+    void on(const RowReplied& event, core::TimePoint now);
+    void on(const RowsReplied& event, core::TimePoint now);
+    void on(const ObjectReplied& event, core::TimePoint now);
+    void on(const MembersChanged& event, core::TimePoint now);
+    void on(const DocumentChanged& event, core::TimePoint now);
+    void on(const VmListChanged& event, core::TimePoint now);
+    void on(const LoadReported& event, core::TimePoint now);
+    void on(const OutcomeReported& event, core::TimePoint now);
+    void on(const DrainRequested& event, core::TimePoint now);
+    void on(const Tick& event, core::TimePoint now);
+
+    void place(Call& call, core::TimePoint now);
+    void startAtOwner(Call& call, core::TimePoint now);
+    void handle(const DurableEvents& events, core::TimePoint now);
+    void on(const RecordsSettled& settled, core::TimePoint now);
+    void on(const PartitionServed& served, core::TimePoint now);
+    void on(const PartitionDropped& dropped, core::TimePoint now);
+    void tickWaiting(core::TimePoint now);
+    void tickHandOver(core::TimePoint now);
+    void pollLoads(core::TimePoint now);
+    void publishMetrics();
+
+    Context context;
+    Entry entry;
+    Turns turns;
+    ServiceCalls services;
+    Programs programs;
+    core::TimePoint nextLoadPoll {};
+    core::TimePoint nextHandOver {};
+    bool drainedReported = false;
+};
+
+} // namespace lagoontiller::control
--- /dev/null
+++ b/source/control/DurableState.cpp
@@ -0,0 +1,286 @@
+#include "control/DurableState.h"
+
+#include "control/Overloaded.h"
+#include "core/Log.h"
+
+namespace lagoontiller::control {
+
+namespace {
+
+state::CommitSettings commitSettings(const DurableSettings& settings)
+{
+    state::CommitSettings result;
+    result.minimumInterval = settings.commitInterval;
+    return result;
+}
+
+state::OwnershipSettings ownershipSettings(const DurableSettings& settings)
+{
+    state::OwnershipSettings result;
+    result.node = settings.node;
+    result.stream = settings.stream;
+    return result;
+}
+
+} // namespace
+
+DurableState::DurableState(
+    DurableSettings settings, state::Partitions partitions, std::uint64_t seed, core::TimePoint now)
+    : partitions(partitions)
+    , commits(settings.stream, commitSettings(settings), state::Generator(seed))
+    , ownership(ownershipSettings(settings), partitions, state::Generator(seed + 1), now)
+{
+}
+
+core::PartitionId DurableState::partitionOf(const core::ProgramKey& program) const
+{
+    return this->partitions.of(program);
+}
+
+bool DurableState::serves(core::PartitionId partition) const
+{
+    return this->stores.contains(partition) && this->ownership.phase(partition) == state::PartitionPhase::Owned;
+}
+
+bool DurableState::mayServeSoon(core::PartitionId partition) const
+{
+    const auto phase = this->ownership.phase(partition);
+    return phase == state::PartitionPhase::Taking || phase == state::PartitionPhase::Recovering;
+}
+
+const state::ProgramState* DurableState::find(const core::ProgramKey& program) const
+{
+    const auto* store = this->store(this->partitionOf(program));
+    return store == nullptr ? nullptr : store->find(program);
+}
+
+state::RootBudget DurableState::budgetOf(const core::ProgramKey& program) const
+{
+    const auto* store = this->store(this->partitionOf(program));
+    return store == nullptr ? state::RootBudget {} : store->budgetOf(program);
+}
+
+bool DurableState::wasHandedOver(core::PartitionId partition) const
+{
+    const auto found = this->stores.find(partition);
+    return found != this->stores.end() && found->second.handedOver;
+}
+
+const state::ProgramStore* DurableState::store(core::PartitionId partition) const
+{
+    const auto found = this->stores.find(partition);
+    return found == this->stores.end() ? nullptr : &found->second.store;
+}
+
+std::vector<core::PartitionId> DurableState::served() const
+{
+    std::vector<core::PartitionId> result;
+    for (const auto& [partition, store] : this->stores)
+        result.push_back(partition);
+    return result;
+}
+
+bool DurableState::isPending(const core::ProgramKey& program) const
+{
+    return this->pendingRecords.contains(program);
+}
+
+core::Expected<void> DurableState::append(
+    const core::ProgramKey& program, std::vector<records::Entry> entries, Purpose purpose, core::TimePoint now)
+{
+    const auto partition = this->partitionOf(program);
+    const auto found = this->stores.find(partition);
+    if (found == this->stores.end())
+        return core::failure(core::ResultCode::OwnerChanged, "this node does not own the program");
+    for (auto& entry : entries) {
+        entry.set_partition(partition);
+        if (entry.program().empty()) {
+            entry.set_customer(program.customer);
+            entry.set_program(program.program);
+        }
+    }
+    const auto ticket = this->commits.append(entries, now);
+    if (!ticket)
+        return tl::unexpected(ticket.error());
+    for (const auto& entry : entries)
+        found->second.store.apply(entry);
+    this->tickets.emplace(*ticket, Waiting { std::move(purpose), program });
+    ++this->pendingRecords[program];
+    return {};
+}
+
+void DurableState::forget(const core::ProgramKey& root)
+{
+    const auto found = this->stores.find(this->partitionOf(root));
+    if (found != this->stores.end())
+        found->second.store.forget(root);
+}
+
+void DurableState::setNodes(const std::vector<state::LivingNode>& nodes, core::TimePoint now)
+{
+    this->ownership.setNodes(nodes, now);
+}
+
+bool DurableState::handOver(core::PartitionId partition, const std::string& successor)
+{
+    if (!this->serves(partition) || this->commits.hasPending(partition))
+        return false;
+    // Nothing is pending, so no ticket is rejected here.
+    static_cast<void>(this->commits.dropPartition(partition));
+    return this->ownership.handOver(partition, successor);
+}
+
+std::vector<std::pair<core::PartitionId, std::string>> DurableState::misplaced() const
+{
+    return this->ownership.misplaced();
+}
+
+DurableEvents DurableState::tick(core::TimePoint now, Effects& effects)
+{
+    DurableEvents events;
+    this->handle(this->commits.tick(now), now, events, effects);
+    this->handle(this->ownership.tick(now, this->commits.nextSequence()), now, events, effects);
+    return events;
+}
+
+DurableEvents DurableState::onTransaction(StoreUser user, state::OperationId operation,
+    const state::TransactionResult& result, core::TimePoint now, Effects& effects)
+{
+    DurableEvents events;
+    if (user == StoreUser::Commit)
+        this->handle(this->commits.onTransaction(operation, result, now), now, events, effects);
+    else
+        this->handle(this->ownership.onTransaction(operation, result, now), now, events, effects);
+    return events;
+}
+
+DurableEvents DurableState::onObjectWritten(StoreUser user, state::OperationId operation,
+    const state::WriteResult& result, core::TimePoint now, Effects& effects)
+{
+    DurableEvents events;
+    if (user == StoreUser::Commit)
+        this->handle(this->commits.onObjectWritten(operation, result, now), now, events, effects);
+    else
+        this->handle(this->ownership.onObjectWritten(operation, result, now), now, events, effects);
+    return events;
+}
+
+DurableEvents DurableState::onRow(
+    StoreUser user, state::OperationId operation, const state::RowResult& result, core::TimePoint now, Effects& effects)
+{
+    DurableEvents events;
+    if (user == StoreUser::Commit)
+        this->handle(this->commits.onRow(operation, result, now), now, events, effects);
+    else
+        this->handle(this->ownership.onRow(operation, result, now), now, events, effects);
+    return events;
+}
+
+DurableEvents DurableState::onRows(
+    state::OperationId operation, const state::RowsResult& result, core::TimePoint now, Effects& effects)
+{
+    DurableEvents events;
+    this->handle(this->ownership.onRows(operation, result, now), now, events, effects);
+    return events;
+}
+
+DurableEvents DurableState::onObject(
+    state::OperationId operation, const state::ObjectResult& result, core::TimePoint now, Effects& effects)
+{
+    DurableEvents events;
+    this->handle(this->ownership.onObject(operation, result, now), now, events, effects);
+    return events;
+}
+
+std::size_t DurableState::memoryBytes() const
+{
+    std::size_t bytes = this->commits.pendingBytes();
+    for (const auto& [partition, served] : this->stores)
+        bytes += served.store.memoryBytes();
+    return bytes;
+}
+
+void DurableState::handle(
+    state::CommitEffects commitEffects, core::TimePoint now, DurableEvents& events, Effects& effects)
+{
+    for (auto& effect : commitEffects) {
+        std::visit(
+            Overloaded {
+                [&](state::TicketCommitted& committed) {
+                    this->settle(committed.ticket, std::nullopt, committed.firstSent, events);
+                },
+                [&](state::TicketRejected& rejected) { this->settle(rejected.ticket, rejected.error, now, events); },
+                [&](state::PartitionLost& lost) {
+                    this->handle(this->ownership.onPartitionLost(lost.partition, lost.heldEpoch), now, events, effects);
+                },
+                [&](auto& operation) {
+                    effects.push_back(StoreOperation { StoreUser::Commit, std::move(operation) });
+                },
+            },
+            effect);
+    }
+}
+
+void DurableState::handle(
+    state::OwnershipEffects ownershipEffects, core::TimePoint now, DurableEvents& events, Effects& effects)
+{
+    for (auto& effect : ownershipEffects) {
+        std::visit(
+            Overloaded {
+                [&](state::PartitionRecovered& recovered) {
+                    auto declared = this->commits.setPartition(recovered.partition, recovered.epoch, recovered.version);
+                    this->handle(std::move(declared), now, events, effects);
+                    this->stores.insert_or_assign(
+                        recovered.partition, Served { std::move(recovered.store), recovered.handedOver });
+                    events.push_back(PartitionServed { recovered.partition });
+                },
+                [&](state::RowVersionChanged& changed) {
+                    auto declared = this->commits.setPartition(changed.partition, changed.epoch, changed.version);
+                    this->handle(std::move(declared), now, events, effects);
+                },
+                [&](state::OwnershipEnded& ended) {
+                    this->drop(ended.partition, ended.handedOver, now, events, effects);
+                },
+                [&](state::SnapshotDue& due) {
+                    if (const auto* store = this->store(due.partition)) {
+                        this->ownership.snapshot(due.partition, due.epoch, store->image(due.partition, due.epoch),
+                            this->commits.nextSequence());
+                    }
+                },
+                [&](state::LogDeleted&) {},
+                [&](auto& operation) {
+                    effects.push_back(StoreOperation { StoreUser::Ownership, std::move(operation) });
+                },
+            },
+            effect);
+    }
+}
+
+void DurableState::settle(
+    state::Ticket ticket, std::optional<core::Error> error, core::TimePoint firstSent, DurableEvents& events)
+{
+    const auto found = this->tickets.find(ticket);
+    if (found == this->tickets.end())
+        return;
+    const auto pending = this->pendingRecords.find(found->second.program);
+    if (pending != this->pendingRecords.end() && --pending->second == 0)
+        this->pendingRecords.erase(pending);
+    events.push_back(RecordsSettled { std::move(found->second.purpose), std::move(error), firstSent });
+    this->tickets.erase(found);
+}
+
+void DurableState::drop(
+    core::PartitionId partition, bool handedOver, core::TimePoint now, DurableEvents& events, Effects& effects)
+{
+    PartitionDropped dropped { partition, handedOver, {} };
+    if (const auto* store = this->store(partition)) {
+        for (const auto& [key, program] : store->all())
+            dropped.programs.push_back(key);
+    }
+    this->stores.erase(partition);
+    core::logInfo("partition_dropped").with("partition", partition).with("handed_over", handedOver);
+    events.push_back(std::move(dropped));
+    this->handle(this->commits.dropPartition(partition), now, events, effects);
+}
+
+} // namespace lagoontiller::control
--- /dev/null
+++ b/source/control/Entry.cpp
@@ -0,0 +1,247 @@
+#include "control/Entry.h"
+
+#include "core/Encoding.h"
+#include "core/Log.h"
+#include "state/Rendezvous.h"
+
+namespace lagoontiller::control {
+
+namespace {
+
+using core::ResultCode;
+using nlohmann::json;
+
+constexpr std::size_t mostEntries = 8;
+constexpr int entriesKeepSeconds = 5;
+constexpr std::size_t mostCandidates = 4;
+constexpr auto ownerRetryDelay = std::chrono::milliseconds(200);
+constexpr std::size_t programIdBytes = 12;
+
+/// \brief 0 for the same zone, 1 for the same region, 2 for elsewhere.
+int distance(const Member& member, const ControllerSettings& settings)
+{
+    if (member.zone == settings.zone)
+        return 0;
+    return member.region == settings.region ? 1 : 2;
+}
+
+bool needsProgram(const callers::CallerOperation& operation)
+{
+    return !std::holds_alternative<callers::ListEntries>(operation)
+        && !std::holds_alternative<callers::ShowMetrics>(operation)
+        && !std::holds_alternative<callers::ShowHealth>(operation);
+}
+
+callers::CallIdentity* identityOf(callers::CallerOperation& operation)
+{
+    if (auto* model = std::get_if<callers::ModelCall>(&operation))
+        return &model->identity;
+    if (auto* service = std::get_if<callers::ServiceCall>(&operation))
+        return &service->identity;
+    return nullptr;
+}
+
+bool mayRepeat(const Call& call)
+{
+    const auto* request = call.service();
+    const auto* service = call.document->service(request->service);
+    return request->identity.repeatable && (service == nullptr || service->mayRepeat(request->path));
+}
+
+void setHeader(http::Headers& headers, const std::string& name, const std::string& value)
+{
+    std::erase_if(headers, [&](const http::Header& header) { return http::sameName(header.name, name); });
+    headers.push_back({ name, value });
+}
+
+} // namespace
+
+Call* Entry::admit(const CallArrived& event, core::TimePoint now)
+{
+    Call arrived;
+    arrived.id = event.call;
+    arrived.arrived = now;
+    arrived.forwarded = event.forwarded;
+    arrived.request = event.request;
+    arrived.requestId = this->context.newRequestId();
+    arrived.document = this->context.document;
+    arrived.documentVersion = this->context.documentVersion;
+    auto& call = this->context.calls.add(std::move(arrived));
+    callers::ParserLimits limits;
+    if (call.document)
+        limits.maximumBodyBytes = static_cast<std::size_t>(call.document->limits().maxBodyBytes);
+    auto operation = callers::parseOperation(call.request, limits);
+    if (!operation) {
+        this->context.refuse(call, operation.error());
+        return nullptr;
+    }
+    call.operation = std::move(*operation);
+    if (std::holds_alternative<callers::ListEntries>(call.operation)) {
+        this->answerEntries(call);
+        return nullptr;
+    }
+    if (std::holds_alternative<callers::ShowMetrics>(call.operation)) {
+        this->context.answer(
+            call, 200, { { "Content-Type", "text/plain; version=0.0.4" } }, this->context.metrics.text());
+        return nullptr;
+    }
+    if (std::holds_alternative<callers::ShowHealth>(call.operation)) {
+        this->answerHealth(call);
+        return nullptr;
+    }
+    if (const auto authenticated = this->authenticate(call); !authenticated) {
+        this->context.refuse(call, authenticated.error());
+        return nullptr;
+    }
+    if (this->context.draining && !call.forwarded && needsProgram(call.operation) && call.request.method == "POST") {
+        const auto program = callers::programOf(call.operation);
+        if (program.empty()) {
+            this->context.refuse(call, { ResultCode::NodeDraining, "this node is shutting down" }, shortRetryMs);
+            return nullptr;
+        }
+    }
+    this->locate(call);
+    return &call;
+}
+
+core::Expected<void> Entry::authenticate(Call& call) const
+{
+    if (!call.document)
+        return core::failure(ResultCode::NoDocument, "this node has no accepted document yet");
+    const auto key = callers::customerKey(call.request);
+    if (!key)
+        return tl::unexpected(key.error());
+    const auto* customer = document::customerOfKey(*call.document, *key);
+    if (customer == nullptr)
+        return core::failure(ResultCode::UnknownKey, "the customer key is not known");
+    call.program.customer = customer->name;
+    return {};
+}
+
+void Entry::locate(Call& call)
+{
+    auto program = callers::programOf(call.operation);
+    auto* identity = identityOf(call.operation);
+    // The owner reads the request again and must find the same program, turn and key; with all three explicit, the
+    // request can also be sent to another owner without running twice.
+    if (identity != nullptr && program.empty() && call.model() != nullptr && !identity->turn) {
+        identity->turn = 1;
+        setHeader(call.request.headers, "X-Turn", "1");
+    }
+    if (program.empty() && identity != nullptr) {
+        program = identity->idempotencyKey.empty()
+            ? this->context.settings.region + "." + core::randomHex(programIdBytes)
+            : callers::programForKey(identity->idempotencyKey);
+        identity->program = program;
+        setHeader(call.request.headers, "X-Program-Id", program);
+    }
+    if (call.service() != nullptr && identity->idempotencyKey.empty() && !mayRepeat(call)) {
+        identity->idempotencyKey = call.requestId;
+        setHeader(call.request.headers, "Idempotency-Key", call.requestId);
+    }
+    call.program.program = program;
+    call.partition = this->context.durable.partitionOf(call.program);
+}
+
+std::vector<std::string> Entry::candidates(core::PartitionId partition) const
+{
+    std::vector<state::LivingNode> nodes;
+    for (const auto& member : this->context.members)
+        nodes.push_back({ member.node, member.region, member.leaving });
+    const state::Partitions partitions(this->context.settings.partitions, this->context.settings.regions);
+    std::vector<std::string> result;
+    const auto known = this->context.durable.ownerOf(partition);
+    while (result.size() < mostCandidates) {
+        const auto next = state::preferredOwner(partitions, partition, nodes);
+        if (!next)
+            break;
+        result.push_back(*next);
+        std::erase_if(nodes, [&](const state::LivingNode& node) { return node.name == *next; });
+    }
+    // The owner by the latest ownership rows may be a leaving node, which is nobody's preferred owner.
+    const bool alive = std::any_of(this->context.members.begin(), this->context.members.end(),
+        [&](const Member& member) { return member.node == known; });
+    if (alive && std::find(result.begin(), result.end(), known) == result.end())
+        result.push_back(known);
+    return result;
+}
+
+void Entry::forward(Call& call, core::TimePoint now)
+{
+    for (const auto& node : this->candidates(call.partition)) {
+        if (node == this->context.settings.node || call.refusedBy.contains(node))
+            continue;
+        call.phase = CallPhase::Forwarded;
+        call.refusedBy.insert(node);
+        this->context.effects.push_back(ForwardCall { call.id, node, call.request });
+        return;
+    }
+    if (now - call.arrived > this->context.settings.ownerWait) {
+        this->context.refuse(
+            call, { ResultCode::PartitionUnavailable, "no node owns the program at present" }, shortRetryMs);
+        return;
+    }
+    call.refusedBy.clear();
+    call.phase = CallPhase::AwaitsPartition;
+    call.due = now + ownerRetryDelay;
+}
+
+void Entry::onForwardAnswered(const ForwardAnswered& event, core::TimePoint now)
+{
+    auto* call = this->context.calls.find(event.call);
+    if (call == nullptr || call->phase != CallPhase::Forwarded)
+        return;
+    if (event.code == static_cast<int>(ResultCode::PartitionUnavailable))
+        this->forward(*call, now);
+    else
+        this->context.calls.erase(event.call);
+}
+
+void Entry::onForwardFailed(const ForwardFailed& event, core::TimePoint now)
+{
+    auto* call = this->context.calls.find(event.call);
+    if (call == nullptr || call->phase != CallPhase::Forwarded)
+        return;
+    const auto* identity = identityOf(call->operation);
+    const bool explicitTurn = call->model() == nullptr || (identity != nullptr && identity->turn);
+    if (!event.sent || explicitTurn) {
+        this->forward(*call, now);
+        return;
+    }
+    this->context.refuse(*call,
+        { ResultCode::PeerUnreachable, "the owner of the program is gone", core::RunState::MayHaveRun }, shortRetryMs);
+}
+
+void Entry::answerEntries(Call& call)
+{
+    std::vector<Member> usable;
+    for (const auto& member : this->context.members) {
+        if (!member.leaving)
+            usable.push_back(member);
+    }
+    // Shuffled first, so that callers spread over the nodes of the nearest zone.
+    std::shuffle(usable.begin(), usable.end(), this->context.random);
+    std::stable_sort(usable.begin(), usable.end(), [&](const Member& left, const Member& right) {
+        return distance(left, this->context.settings) < distance(right, this->context.settings);
+    });
+    json entries = json::array();
+    for (std::size_t index = 0; index < std::min(mostEntries, usable.size()); ++index) {
+        const auto& member = usable[index];
+        entries.push_back(
+            { { "address", member.callerAddress }, { "zone", member.zone }, { "region", member.region } });
+    }
+    const json body { { "entries", entries }, { "keep_seconds", entriesKeepSeconds } };
+    this->context.answer(call, 200, {}, body.dump());
+}
+
+void Entry::answerHealth(Call& call)
+{
+    const bool ready = this->context.document != nullptr && !this->context.draining;
+    const json body { { "ready", ready }, { "draining", this->context.draining },
+        { "document_version", this->context.documentVersion }, { "partitions", this->context.durable.served().size() },
+        { "members", this->context.members.size() }, { "store_available", this->context.durable.storeAvailable() },
+        { "calls", this->context.calls.size() - 1 } };
+    this->context.answer(call, ready ? 200 : 503, {}, body.dump());
+}
+
+} // namespace lagoontiller::control
--- /dev/null
+++ b/source/control/Overloaded.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace lagoontiller::control {
+
+/// \brief Visitor made of lambdas, for std::visit.
+template <typename... Functions> struct Overloaded : Functions... {
+    using Functions::operator()...;
+};
+template <typename... Functions> Overloaded(Functions...) -> Overloaded<Functions...>;
+
+} // namespace lagoontiller::control
--- /dev/null
+++ b/source/control/Programs.cpp
@@ -0,0 +1,245 @@
+#include "control/Programs.h"
+
+#include "core/Log.h"
+
+namespace lagoontiller::control {
+
+namespace {
+
+using core::ResultCode;
+using nlohmann::json;
+
+constexpr auto firstReleaseDelay = std::chrono::milliseconds(200);
+constexpr auto longestReleaseDelay = std::chrono::seconds(30);
+constexpr auto expiryInterval = std::chrono::seconds(1);
+// Ended programs stay readable for callers that lost their connection near the end.
+constexpr auto retention = std::chrono::minutes(10);
+
+/// \brief The program and all its sub-agents.
+std::vector<core::ProgramKey> treeOf(const state::ProgramStore& store, const core::ProgramKey& program)
+{
+    std::vector<core::ProgramKey> result;
+    const auto prefix = program.program + "~";
+    for (auto each = store.all().lower_bound(program); each != store.all().end(); ++each) {
+        const bool same = each->first == program;
+        const bool below = each->first.customer == program.customer && each->first.program.starts_with(prefix);
+        if (!same && each->first.customer != program.customer)
+            break;
+        if (same || below)
+            result.push_back(each->first);
+        else if (each->first.program > prefix + "\x7F")
+            break;
+    }
+    return result;
+}
+
+} // namespace
+
+void Programs::show(Call& call)
+{
+    const auto* program = this->context.durable.find(call.program);
+    if (program == nullptr) {
+        this->context.refuse(call, { ResultCode::UnknownProgram, "the program is not known" });
+        return;
+    }
+    const auto budget = this->context.durable.budgetOf(call.program);
+    const json body { { "program", call.program.program }, { "class", program->programClass },
+        { "turns", program->turns.size() }, { "last_turn", program->lastTurn() }, { "calls", program->calls.size() },
+        { "ended", program->ended }, { "end_reason", program->endReason }, { "reserved_tokens", budget.reservedTokens },
+        { "used_tokens", budget.usedTokens }, { "releases_open", program->releasesOpen.size() },
+        { "pending", this->context.durable.isPending(call.program) } };
+    this->context.answer(call, 200, {}, body.dump());
+}
+
+void Programs::fetchTurn(Call& call)
+{
+    const auto wanted = std::get<callers::FetchTurn>(call.operation).turn;
+    const auto* program = this->context.durable.find(call.program);
+    if (program == nullptr) {
+        this->context.refuse(call, { ResultCode::UnknownProgram, "the program is not known" });
+        return;
+    }
+    const auto stored = program->turns.find(wanted);
+    if (stored == program->turns.end()) {
+        this->context.refuse(call, { ResultCode::UnknownTurn, "the turn is not answered" }, shortRetryMs);
+        return;
+    }
+    const std::string commitState = this->context.durable.isPending(call.program) ? "pending" : "committed";
+    this->context.answer(call, 200,
+        { { "X-Turn", std::to_string(wanted) }, { "X-Commit-State", commitState },
+            { "X-Request-Id", stored->second.requestId } },
+        stored->second.answer);
+}
+
+void Programs::end(Call& call, core::TimePoint now)
+{
+    const auto* program = this->context.durable.find(call.program);
+    if (program == nullptr) {
+        this->context.refuse(call, { ResultCode::UnknownProgram, "the program is not known" });
+        return;
+    }
+    if (program->ended) {
+        this->context.answer(call, 200, {}, R"({"ended":true})");
+        return;
+    }
+    call.phase = CallPhase::Recording;
+    call.due = now + this->context.settings.commitWait;
+    const auto recorded
+        = this->recordEnd(call.program, "ended by the caller", EndRecorded { call.id, call.program }, now);
+    if (!recorded)
+        this->context.refuse(call, recorded.error(), shortRetryMs);
+}
+
+core::Expected<void> Programs::recordEnd(
+    const core::ProgramKey& program, const std::string& reason, Purpose purpose, core::TimePoint now)
+{
+    const auto* store = this->context.durable.store(this->context.durable.partitionOf(program));
+    if (store == nullptr)
+        return core::failure(ResultCode::OwnerChanged, "this node does not own the program");
+    std::vector<records::Entry> entries;
+    for (const auto& key : treeOf(*store, program)) {
+        const auto* state = store->find(key);
+        if (state->ended)
+            continue;
+        auto& entry = entries.emplace_back();
+        entry.set_customer(key.customer);
+        entry.set_program(key.program);
+        entry.mutable_program_ended()->set_reason(reason);
+        for (const auto& endpoint : state->endpointsUsed)
+            entry.mutable_program_ended()->add_endpoints(endpoint);
+    }
+    return this->context.durable.append(program, std::move(entries), std::move(purpose), now);
+}
+
+void Programs::onEndRecorded(const EndRecorded& recorded, const std::optional<core::Error>& error, core::TimePoint now)
+{
+    if (auto* call = this->context.calls.find(recorded.call)) {
+        if (error)
+            this->context.refuse(*call, *error, shortRetryMs);
+        else
+            this->context.answer(*call, 200, { { "X-Commit-State", "committed" } }, R"({"ended":true})");
+    }
+    if (error)
+        return;
+    const auto* store = this->context.durable.store(this->context.durable.partitionOf(recorded.program));
+    if (store == nullptr)
+        return;
+    for (const auto& key : treeOf(*store, recorded.program))
+        this->startReleases(key, now);
+}
+
+void Programs::startReleases(const core::ProgramKey& program, core::TimePoint now)
+{
+    const auto* state = this->context.durable.find(program);
+    if (state == nullptr || !state->ended)
+        return;
+    this->context.dispatch.released(cacheKey(program));
+    if (state::rootOf(program) == program) {
+        this->forgetAt[program] = now + retention;
+        this->context.budgets.close(program);
+    }
+    for (const auto& endpoint : state->releasesOpen)
+        this->releases.emplace(ReleaseKey { program, endpoint }, Release { now, 0, false });
+}
+
+void Programs::onMemoryReleased(const MemoryReleased& event, core::TimePoint now)
+{
+    const auto found = this->releases.find({ event.program, event.endpoint });
+    if (found == this->releases.end())
+        return;
+    found->second.inFlight = false;
+    if (event.confirmed) {
+        this->confirm(found->first, now);
+        return;
+    }
+    const auto delay
+        = std::min<core::Duration>(firstReleaseDelay * (1 << std::min(found->second.tries, 8)), longestReleaseDelay);
+    found->second.due = now + delay;
+}
+
+void Programs::confirm(const ReleaseKey& key, core::TimePoint now)
+{
+    records::Entry entry;
+    entry.mutable_release_confirmed()->set_endpoint(key.second);
+    const auto program = key.first;
+    if (this->context.durable.append(program, { entry }, Unattended {}, now))
+        this->releases.erase(key);
+}
+
+void Programs::onPartitionServed(core::PartitionId partition, core::TimePoint now)
+{
+    const auto* store = this->context.durable.store(partition);
+    if (store == nullptr)
+        return;
+    for (const auto& [key, program] : store->all()) {
+        if (program.ended)
+            this->startReleases(key, now);
+    }
+}
+
+void Programs::onPartitionDropped(const std::vector<core::ProgramKey>& programs)
+{
+    for (const auto& program : programs) {
+        this->forgetAt.erase(program);
+        for (auto each = this->releases.lower_bound({ program, {} });
+             each != this->releases.end() && each->first.first == program;)
+            each = this->releases.erase(each);
+    }
+}
+
+void Programs::tick(core::TimePoint now)
+{
+    std::vector<ReleaseKey> gone;
+    for (auto& [key, release] : this->releases) {
+        if (release.inFlight || release.due > now)
+            continue;
+        if (release.tries > 0 && !this->context.dispatch.isListed(key.second)) {
+            gone.push_back(key);
+            continue;
+        }
+        release.inFlight = true;
+        ++release.tries;
+        this->context.effects.push_back(ReleaseMemory { key.first, key.second });
+    }
+    for (const auto& key : gone)
+        this->confirm(key, now);
+    for (const auto id : this->context.calls.select([&](const Call& call) {
+             return std::holds_alternative<callers::EndProgram>(call.operation) && call.phase == CallPhase::Recording
+                 && call.due <= now;
+         }))
+        this->context.answer(
+            *this->context.calls.find(id), 200, { { "X-Commit-State", "pending" } }, R"({"ended":true})");
+    if (now >= this->nextExpiry) {
+        this->nextExpiry = now + expiryInterval;
+        this->expirePrograms(now);
+    }
+}
+
+void Programs::expirePrograms(core::TimePoint now)
+{
+    std::vector<core::ProgramKey> expired;
+    for (const auto partition : this->context.durable.served()) {
+        for (const auto& [key, program] : this->context.durable.store(partition)->all()) {
+            const auto* programClass
+                = this->context.document ? this->context.document->programClass(program.programClass) : nullptr;
+            if (program.ended || !program.opened || state::rootOf(key) != key || programClass == nullptr)
+                continue;
+            if (this->context.unixMs - program.openedUnixMs > programClass->maxWallSeconds * 1000)
+                expired.push_back(key);
+        }
+    }
+    for (const auto& key : expired) {
+        core::logInfo("program_expired").with("customer", key.customer).with("program", key.program);
+        static_cast<void>(this->recordEnd(key, "wall time of the class exceeded", EndRecorded { 0, key }, now));
+    }
+    for (auto each = this->forgetAt.begin(); each != this->forgetAt.end();) {
+        if (each->second > now) {
+            ++each;
+            continue;
+        }
+        this->context.durable.forget(each->first);
+        each = this->forgetAt.erase(each);
+    }
+}
+
+} // namespace lagoontiller::control
--- /dev/null
+++ b/source/control/Programs.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "control/Context.h"
+
+#include <map>
+
+namespace lagoontiller::control {
+
+/// \brief Life of programs at their owner: status, stored turns, end, expiry, and release of engine memory.
+class Programs {
+public:
+    explicit Programs(Context& context)
+        : context(context)
+    {
+    }
+
+    void show(Call& call);
+    void fetchTurn(Call& call);
+    void end(Call& call, core::TimePoint now);
+    void onEndRecorded(const EndRecorded& recorded, const std::optional<core::Error>& error, core::TimePoint now);
+    void onMemoryReleased(const MemoryReleased& event, core::TimePoint now);
+    /// \brief Resumes unfinished releases of a recovered partition.
+    void onPartitionServed(core::PartitionId partition, core::TimePoint now);
+    void onPartitionDropped(const std::vector<core::ProgramKey>& programs);
+    void tick(core::TimePoint now);
+
+    [[nodiscard]] std::size_t openReleases() const noexcept { return this->releases.size(); }
+
+private:
+    struct Release {
+        core::TimePoint due {};
+        int tries = 0;
+        bool inFlight = false;
+    };
+    using ReleaseKey = std::pair<core::ProgramKey, std::string>;
+
+    [[nodiscard]] core::Expected<void> recordEnd(
+        const core::ProgramKey& program, const std::string& reason, Purpose purpose, core::TimePoint now);
+    void startReleases(const core::ProgramKey& program, core::TimePoint now);
+    void confirm(const ReleaseKey& key, core::TimePoint now);
+    void expirePrograms(core::TimePoint now);
+
+    Context& context;
+    std::map<ReleaseKey, Release> releases;
+    std::map<core::ProgramKey, core::TimePoint> forgetAt;
+    core::TimePoint nextExpiry {};
+};
+
+} // namespace lagoontiller::control
--- /dev/null
+++ b/source/control/Runtime.cpp
@@ -0,0 +1,424 @@
+#include "control/Runtime.h"
+
+#include "core/Encoding.h"
+#include "core/Log.h"
+
+#include <csignal>
+
+namespace lagoontiller::control {
+
+namespace {
+
+constexpr auto tickInterval = std::chrono::milliseconds(10);
+constexpr auto vmListInterval = std::chrono::seconds(1);
+constexpr std::size_t runIdBytes = 6;
+
+ControllerSettings controllerSettings(const settings::Settings& settings)
+{
+    ControllerSettings result;
+    result.node = settings.nodeName;
+    result.zone = settings.zone;
+    result.region = settings.region;
+    result.run = settings.nodeName + "-" + core::randomHex(runIdBytes);
+    result.partitions = settings.partitions;
+    result.regions = settings.regions;
+    result.commitInterval
+        = std::chrono::microseconds(std::int64_t(1000000) * settings.commitStreams / settings.storeWritesPerSecond);
+    result.seed = std::random_device {}();
+    return result;
+}
+
+callers::HttpServerSettings callerServerSettings(const settings::Settings& settings)
+{
+    callers::HttpServerSettings result;
+    result.address = settings.callerAddress.text();
+    result.threads = static_cast<int>(settings.trafficThreads);
+    return result;
+}
+
+callers::HttpServerSettings operatorServerSettings(const settings::Settings& settings)
+{
+    callers::HttpServerSettings result;
+    result.address = settings.operatorAddress.text();
+    result.threads = 1;
+    result.maximumConnections = 100;
+    result.maximumConnectionsPerAddress = 50;
+    return result;
+}
+
+} // namespace
+
+Runtime::Runtime(std::shared_ptr<const settings::Settings> processSettings)
+    : settings(std::move(processSettings))
+    , tickTimer(this->context)
+    , vmListTimer(this->context)
+    , signals(this->context, SIGTERM, SIGINT)
+    , tables(this->client, this->settings->tableAddress.text())
+    , objects(this->client, this->settings->objectAddress.text())
+    , engines(this->client)
+    , services(this->client)
+    , vmList(this->client, this->settings->vmListAddress.text())
+    , controller(std::make_unique<Controller>(controllerSettings(*this->settings), this->metrics, core::monotonicNow()))
+    , documents(std::make_unique<DocumentKeeper>(
+          this->context, this->tables, [this](const DocumentInForce& document) { this->onDocument(document); }))
+    , nodes(std::make_unique<NodeLink>(
+          *this->settings, [this](std::function<void()> function) { asio::post(this->context, std::move(function)); },
+          this->nodeHandlers(), core::monotonicNow()))
+    , operatorApi(std::make_unique<operators::OperatorApi>(
+          *this->documents, this->settings->operatorKey, [this] { return this->status(); }))
+    , callerServer(std::make_unique<callers::HttpServer>(callerServerSettings(*this->settings),
+          [this](callers::IncomingRequest request, callers::ResponseStreamPointer response) {
+              this->onRequest(std::move(request), std::move(response));
+          }))
+    , operatorServer(std::make_unique<callers::HttpServer>(operatorServerSettings(*this->settings),
+          [this](callers::IncomingRequest request, callers::ResponseStreamPointer response) {
+              asio::post(this->context, [this, request = std::move(request), response = std::move(response)] {
+                  this->operatorApi->handle(request, response);
+              });
+          }))
+{
+}
+
+Runtime::~Runtime() = default;
+
+core::Expected<void> Runtime::run()
+{
+    for (auto* server : { this->callerServer.get(), this->operatorServer.get() }) {
+        if (const auto started = server->start(); !started)
+            return started;
+    }
+    if (const auto started = this->nodes->start(); !started)
+        return started;
+    core::logInfo("node_started")
+        .with("caller_address", this->settings->callerAddress.text())
+        .with("zone", this->settings->zone)
+        .with("region", this->settings->region);
+    this->watchSignals();
+    this->documents->load();
+    this->scheduleTick();
+    this->pollVmList();
+    const auto work = asio::make_work_guard(this->context);
+    this->context.run();
+    this->nodes->leave(core::monotonicNow());
+    this->callerServer->stop();
+    this->operatorServer->stop();
+    core::logInfo("node_stopped");
+    return {};
+}
+
+void Runtime::watchSignals()
+{
+    this->signals.async_wait([this](const asio::error_code& error, int) {
+        if (error)
+            return;
+        this->nodes->setLeaving();
+        this->dispatch(DrainRequested {});
+    });
+}
+
+void Runtime::stop()
+{
+    this->context.stop();
+}
+
+void Runtime::post(Event event)
+{
+    asio::post(this->context, [this, event = std::move(event)] { this->dispatch(event); });
+}
+
+void Runtime::dispatch(const Event& event)
+{
+    auto effects = this->controller->handle(event, core::monotonicNow(), core::unixMilliseconds());
+    for (auto& effect : effects)
+        std::visit([this](auto& each) { this->perform(std::move(each)); }, effect);
+}
+
+void Runtime::onRequest(callers::IncomingRequest request, callers::ResponseStreamPointer response)
+{
+    asio::post(this->context, [this, request = std::move(request), response = std::move(response)]() mutable {
+        this->acceptRequest(std::move(request), std::move(response), false);
+    });
+}
+
+void Runtime::acceptRequest(callers::IncomingRequest request, callers::ResponseStreamPointer response, bool forwarded)
+{
+    const CallId call = ++this->lastCall;
+    this->open.emplace(call, OpenCall { std::move(response), nullptr });
+    this->dispatch(CallArrived { call, std::move(request), forwarded });
+}
+
+NodeLink::Handlers Runtime::nodeHandlers()
+{
+    NodeLink::Handlers handlers;
+    handlers.membersChanged
+        = [this](std::vector<Member> members) { this->dispatch(MembersChanged { std::move(members) }); };
+    handlers.documentAdopted
+        = [this](std::uint64_t version, const std::string& text) { this->documents->offer(version, text); };
+    handlers.vmListAdopted = [this](const std::string& list) { this->onVmList(list); };
+    handlers.requestArrived = [this](callers::IncomingRequest request, callers::ResponseStreamPointer response) {
+        this->acceptRequest(std::move(request), std::move(response), true);
+    };
+    handlers.event = [this](const Event& event) { this->dispatch(event); };
+    handlers.poisonNoticed = [](const nodes::wire::PoisonNotice&) {};
+    return handlers;
+}
+
+void Runtime::onDocument(const DocumentInForce& document)
+{
+    this->nodes->publishDocument(document.version, document.text);
+    this->dispatch(DocumentChanged { document.version, document.document });
+}
+
+void Runtime::onVmList(const std::string& text)
+{
+    const auto list = vmlist::parseVmList(text);
+    if (!list) {
+        core::logWarning("vm_list_unreadable").with("message", list.error().message);
+        return;
+    }
+    if (list->version <= this->vmListVersion)
+        return;
+    this->vmListVersion = list->version;
+    this->nodes->publishVmList(list->version, text);
+    this->dispatch(VmListChanged { *list });
+}
+
+nlohmann::json Runtime::status() const
+{
+    const auto& state = this->controller->state();
+    nlohmann::json members = nlohmann::json::array();
+    for (const auto& member : state.members) {
+        members.push_back({ { "node", member.node }, { "zone", member.zone }, { "region", member.region },
+            { "caller_address", member.callerAddress }, { "leaving", member.leaving } });
+    }
+    return { { "node", state.settings.node }, { "document_version", state.documentVersion }, { "members", members },
+        { "partitions", state.durable.served().size() }, { "calls", state.calls.size() },
+        { "store_available", state.durable.storeAvailable() }, { "draining", state.draining } };
+}
+
+void Runtime::scheduleTick()
+{
+    this->tickTimer.expires_after(tickInterval);
+    this->tickTimer.async_wait([this](const asio::error_code& error) {
+        if (error)
+            return;
+        this->nodes->tick(core::monotonicNow());
+        this->dispatch(Tick {});
+        this->scheduleTick();
+    });
+}
+
+void Runtime::scheduleVmList()
+{
+    this->vmListTimer.expires_after(vmListInterval);
+    this->vmListTimer.async_wait([this](const asio::error_code& error) {
+        if (!error)
+            this->pollVmList();
+    });
+}
+
+void Runtime::pollVmList()
+{
+    if (!this->nodes->pollsVmList()) {
+        this->scheduleVmList();
+        return;
+    }
+    this->vmList.fetch([this](core::Expected<std::string> text) {
+        asio::post(this->context, [this, text = std::move(text)] {
+            if (text)
+                this->onVmList(*text);
+            else
+                core::logWarning("vm_list_unavailable").with("message", text.error().message);
+            this->scheduleVmList();
+        });
+    });
+}
+
+void Runtime::perform(AnswerWhole effect)
+{
+    const auto found = this->open.find(effect.call);
+    if (found == this->open.end())
+        return;
+    found->second.response->whole(effect.status, effect.headers, std::move(effect.body));
+    this->open.erase(found);
+}
+
+void Runtime::perform(OpenAnswer effect)
+{
+    const auto found = this->open.find(effect.call);
+    if (found == this->open.end())
+        return;
+    found->second.answer = std::make_shared<AnswerStream>(effect.form);
+    found->second.answer->subscribe(effect.call, found->second.response, effect.stream);
+}
+
+void Runtime::perform(JoinAnswer effect)
+{
+    const auto running = this->open.find(effect.running);
+    const auto joining = this->open.find(effect.call);
+    if (running == this->open.end() || joining == this->open.end() || !running->second.answer)
+        return;
+    joining->second.answer = running->second.answer;
+    joining->second.answer->subscribe(effect.call, joining->second.response, effect.stream);
+}
+
+void Runtime::perform(FinishAnswer effect)
+{
+    const auto found = this->open.find(effect.call);
+    if (found != this->open.end() && found->second.answer)
+        found->second.answer->finish(effect.finishChunk);
+}
+
+void Runtime::perform(CloseAnswer effect)
+{
+    const auto found = this->open.find(effect.call);
+    if (found == this->open.end() || !found->second.answer)
+        return;
+    found->second.answer->close(effect.call, effect.commitState, effect.body);
+    this->open.erase(found);
+}
+
+void Runtime::perform(RefuseAnswer effect)
+{
+    const auto found = this->open.find(effect.call);
+    if (found == this->open.end() || !found->second.answer)
+        return;
+    found->second.answer->refuse(effect.call, effect.error, effect.retryAfterMs);
+    this->open.erase(found);
+}
+
+void Runtime::perform(Generate effect)
+{
+    const auto found = this->open.find(effect.call);
+    if (found == this->open.end() || !found->second.answer)
+        return;
+    struct Relay {
+        Runtime& runtime;
+        AttemptId attempt;
+        std::shared_ptr<AnswerStream> answer;
+        bool started = false;
+
+        void operator()(const engines::EngineStarted&) { }
+        void operator()(const engines::EngineText& text)
+        {
+            if (!this->started)
+                this->runtime.post(GenerationStarted { this->attempt });
+            this->started = true;
+            this->answer->addText(text.text);
+        }
+        void operator()(const engines::EngineFinished& result)
+        {
+            this->runtime.post(GenerationFinished { this->attempt, this->answer->text(), result });
+        }
+        void operator()(const engines::EngineFailed& failure)
+        {
+            this->runtime.post(GenerationFailed { this->attempt, this->answer->text(), failure });
+        }
+    };
+    auto relay = std::make_shared<Relay>(Relay { *this, effect.attempt, found->second.answer });
+    this->transfers[effect.attempt] = this->engines.generate(
+        effect.request, [relay](const engines::EngineEvent& event) { std::visit(*relay, event); });
+}
+
+void Runtime::perform(CancelGeneration effect)
+{
+    const auto found = this->transfers.find(effect.attempt);
+    if (found != this->transfers.end()) {
+        this->client.cancel(found->second);
+        this->transfers.erase(found);
+    }
+    this->engines.cancel(effect.endpoint, effect.requestId);
+}
+
+void Runtime::perform(CallService effect)
+{
+    this->services.call(
+        effect.request, [this, attempt = effect.attempt](core::Expected<services::ServiceAnswer> answer) {
+            this->post(ServiceFinished { attempt, std::move(answer) });
+        });
+}
+
+void Runtime::perform(ReleaseMemory effect)
+{
+    const auto key = cacheKey(effect.program);
+    this->engines.release(effect.endpoint, key, [this, effect](bool confirmed) {
+        this->post(MemoryReleased { effect.program, effect.endpoint, confirmed });
+    });
+}
+
+void Runtime::perform(PollLoad effect)
+{
+    this->engines.load(effect.endpoint, [this, endpoint = effect.endpoint](core::Expected<engines::EngineLoad> load) {
+        if (load)
+            this->post(LoadReported { endpoint, *load });
+    });
+}
+
+void Runtime::perform(ForwardCall effect)
+{
+    const auto found = this->open.find(effect.call);
+    if (found == this->open.end())
+        return;
+    this->nodes->forward(effect.call, effect.node, effect.request, found->second.response, core::monotonicNow());
+}
+
+void Runtime::perform(SendToNode effect)
+{
+    this->nodes->send(effect.node, std::move(effect.envelope));
+}
+
+void Runtime::perform(StoreOperation effect)
+{
+    std::visit([&](const auto& operation) { this->store(effect.user, operation); }, effect.operation);
+}
+
+void Runtime::perform(Drained)
+{
+    core::logInfo("drain_finished");
+    this->stop();
+}
+
+void Runtime::store(StoreUser user, const state::WriteTransaction& operation)
+{
+    this->tables.transact(
+        operation.transaction, [this, user, id = operation.operation](state::TransactionResult result) {
+            this->post(TransactionReplied { user, id, std::move(result) });
+        });
+}
+
+void Runtime::store(StoreUser user, const state::WriteObject& operation)
+{
+    this->objects.put(
+        operation.key, operation.bytes, [this, user, id = operation.operation](state::WriteResult result) {
+            this->post(ObjectWritten { user, id, std::move(result) });
+        });
+}
+
+void Runtime::store(StoreUser user, const state::ReadRow& operation)
+{
+    this->tables.read(operation.key, [this, user, id = operation.operation](state::RowResult result) {
+        this->post(RowReplied { user, id, std::move(result) });
+    });
+}
+
+void Runtime::store(StoreUser, const state::ScanRows& operation)
+{
+    this->tables.scan(operation.prefix, operation.after, static_cast<int>(operation.limit),
+        [this, id = operation.operation](state::RowsResult result) {
+            this->post(RowsReplied { id, std::move(result) });
+        });
+}
+
+void Runtime::store(StoreUser, const state::ReadObject& operation)
+{
+    this->objects.get(operation.key, [this, id = operation.operation](state::ObjectResult result) {
+        this->post(ObjectReplied { id, std::move(result) });
+    });
+}
+
+void Runtime::store(StoreUser, const state::DeleteObject& operation)
+{
+    this->objects.remove(operation.key, [](const state::WriteResult&) {});
+}
+
+} // namespace lagoontiller::control
--- /dev/null
+++ b/source/control/ServiceCalls.cpp
@@ -0,0 +1,391 @@
+#include "control/ServiceCalls.h"
+
+#include "control/Overloaded.h"
+#include "core/Log.h"
+
+namespace lagoontiller::control {
+
+namespace {
+
+using core::ResultCode;
+using core::RunState;
+
+constexpr int mostAttempts = 4;
+constexpr auto firstRetryDelay = std::chrono::milliseconds(100);
+
+policy::FailureKind policyKind(const core::Error& error)
+{
+    if (error.ran == RunState::NotRun)
+        return policy::FailureKind::ConnectionRefused;
+    return error.code == ResultCode::EndpointTimeout ? policy::FailureKind::TimedOut : policy::FailureKind::Crashed;
+}
+
+} // namespace
+
+void ServiceCalls::start(Call& call, core::TimePoint now)
+{
+    const auto* request = call.service();
+    const auto* service = call.document->service(request->service);
+    if (service == nullptr || service->kind == document::ServiceKind::Model) {
+        this->context.refuse(
+            call, { ResultCode::UnknownService, "no tool or plain service has the name " + request->service });
+        return;
+    }
+    call.repeatable = service->mayRepeat(request->path) && request->identity.repeatable;
+    call.callKey = request->identity.idempotencyKey.empty() ? call.requestId : request->identity.idempotencyKey;
+    const state::CallRequest asked { call.program, call.callKey, request->digest, request->service, request->path,
+        call.requestId, call.repeatable };
+    const auto decision = this->context.ledger.decide(
+        asked, this->context.durable.find(call.program), this->context.durable.storeAvailable(), now);
+    std::visit(
+        Overloaded {
+            [&](const state::RunCall&) {
+                if (this->reserve(call, now))
+                    this->dispatch(call, now);
+            },
+            [&](const state::CommitIntent& intent) {
+                if (!this->reserve(call, now))
+                    return;
+                auto entries = std::move(call.startEntries);
+                entries.push_back(intent.entry);
+                call.phase = CallPhase::AwaitsRecords;
+                call.due = now + this->context.settings.endpointWait;
+                const auto appended
+                    = this->context.durable.append(call.program, std::move(entries), IntentRecorded { call.id }, now);
+                if (!appended) {
+                    this->context.ledger.onIntentRejected(call.program, call.callKey);
+                    this->fail(call, appended.error(), now);
+                }
+            },
+            [&](const state::JoinCall& running) { this->join(call, running.requestId); },
+            [&](const state::ReplayCall& replay) {
+                call.serviceAnswer
+                    = { static_cast<int>(replay.result.status), replay.result.contentType, replay.result.body };
+                this->respond(call, this->context.durable.isPending(call.program) ? "pending" : "committed", now);
+            },
+            [&](const state::RefuseCall& refused) { this->context.refuse(call, refused.error, shortRetryMs); },
+        },
+        decision);
+}
+
+bool ServiceCalls::reserve(Call& call, core::TimePoint now)
+{
+    const auto abandon = [&](const core::Error& error) {
+        if (call.repeatable)
+            this->context.ledger.onRecorded(call.program, call.callKey);
+        else
+            this->context.ledger.onIntentRejected(call.program, call.callKey);
+        this->context.refuse(call, error);
+        return false;
+    };
+    auto entries = openProgram(this->context, call, now);
+    if (!entries)
+        return abandon(entries.error());
+    const auto decision = this->context.budgets.reserve(call.program, 0, state::WorkKind::Call, now);
+    if (const auto* refused = std::get_if<state::BudgetRefused>(&decision))
+        return abandon(refused->error);
+    if (const auto* spend = std::get_if<state::SpendNow>(&decision))
+        call.reservation = spend->reservation;
+    call.startEntries = std::move(*entries);
+    return true;
+}
+
+void ServiceCalls::onIntentRecorded(
+    Call& call, const std::optional<core::Error>& error, core::TimePoint firstSent, core::TimePoint now)
+{
+    if (error) {
+        this->context.ledger.onIntentRejected(call.program, call.callKey);
+        this->fail(call, *error, now);
+        return;
+    }
+    const auto decision = this->context.ledger.onIntentCommitted(call.program, call.callKey, firstSent, now);
+    if (const auto* refused = std::get_if<state::RefuseCall>(&decision)) {
+        this->fail(call, refused->error, now, 0);
+        return;
+    }
+    this->dispatch(call, now);
+}
+
+void ServiceCalls::onStartRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now)
+{
+    static_cast<void>(now);
+    if (error)
+        core::logWarning("program_open_not_recorded").with("request", call.requestId).with("message", error->message);
+}
+
+void ServiceCalls::dispatch(Call& call, core::TimePoint now)
+{
+    if (!call.startEntries.empty()) {
+        // A repeatable call does not wait for the record that opens its program.
+        static_cast<void>(this->context.durable.append(call.program, std::move(call.startEntries), Unattended {}, now));
+        call.startEntries.clear();
+    }
+    const auto* request = call.service();
+    DispatchRequest wanted;
+    wanted.service = request->service;
+    wanted.requestBytes = request->body.size();
+    wanted.repeatable = call.repeatable;
+    wanted.excluded = call.excluded;
+    const auto destination = this->context.dispatch.choose(wanted, now);
+    if (!destination) {
+        if (now - call.arrived > this->context.settings.endpointWait) {
+            this->onFailure(call, destination.error(), now);
+        } else {
+            call.phase = CallPhase::AwaitsRetry;
+            call.due = now + firstRetryDelay;
+        }
+        return;
+    }
+    this->context.calls.setAttempt(call, ++this->context.lastAttempt);
+    ++call.attempts;
+    call.phase = CallPhase::Running;
+    call.endpointId = destination->endpoint;
+    call.endpoint = destination->address;
+    this->context.dispatch.sent(call.attempt, *destination, wanted, now);
+    services::ServiceRequest outgoing;
+    outgoing.endpoint = destination->address;
+    outgoing.path = request->path;
+    outgoing.contentType = request->contentType;
+    outgoing.body = request->body;
+    outgoing.requestId = call.requestId + "." + std::to_string(call.attempts);
+    outgoing.idempotencyKey = call.callKey;
+    outgoing.repeatable = call.repeatable;
+    outgoing.timeout = std::chrono::milliseconds(call.document->service(request->service)->timeoutMs);
+    this->context.effects.push_back(CallService { call.attempt, std::move(outgoing) });
+}
+
+void ServiceCalls::onFinished(const ServiceFinished& event, core::TimePoint now)
+{
+    if (event.answer)
+        this->context.dispatch.finished(event.attempt, {}, now);
+    else
+        this->context.dispatch.failed(event.attempt, policyKind(event.answer.error()), now);
+    auto* call = this->context.calls.findAttempt(event.attempt);
+    if (call == nullptr || call->phase != CallPhase::Running)
+        return;
+    if (event.answer)
+        this->onAnswer(*call, *event.answer, now);
+    else
+        this->onFailure(*call, event.answer.error(), now);
+}
+
+void ServiceCalls::onAnswer(Call& call, services::ServiceAnswer answer, core::TimePoint now)
+{
+    call.serviceAnswer = std::move(answer);
+    this->context.budgets.settle(call.program, call.reservation, 0);
+    if (call.orphaned) {
+        this->reportLateResult(call, call.serviceAnswer);
+        this->respond(call, "pending", now);
+        return;
+    }
+    const state::CallResult result { static_cast<std::uint32_t>(call.serviceAnswer.status),
+        call.serviceAnswer.contentType, call.serviceAnswer.body };
+    const bool unkeyed = call.repeatable && call.service()->identity.idempotencyKey.empty();
+    if (unkeyed) {
+        this->context.ledger.onRecorded(call.program, call.callKey);
+        this->respond(call, "", now);
+        return;
+    }
+    this->record(call, this->context.ledger.onResult(call.program, call.callKey, result), now);
+}
+
+void ServiceCalls::record(Call& call, std::optional<records::Entry> entry, core::TimePoint now)
+{
+    call.phase = CallPhase::Recording;
+    call.due = now + this->context.settings.commitWait;
+    if (!entry) {
+        this->context.ledger.onRecorded(call.program, call.callKey);
+        this->respond(call, "committed", now);
+        return;
+    }
+    const auto appended = this->context.durable.append(call.program, { *entry }, ResultRecorded { call.id }, now);
+    if (!appended) {
+        this->context.ledger.onRecorded(call.program, call.callKey);
+        this->respond(call, "uncommitted", now);
+    }
+}
+
+void ServiceCalls::onFailure(Call& call, const core::Error& error, core::TimePoint now)
+{
+    core::logWarning("attempt_failed")
+        .with("request", call.requestId)
+        .with("endpoint", call.endpoint)
+        .with("name", core::name(error.code))
+        .with("ran", core::name(error.ran))
+        .with("message", error.message);
+    const bool mayTryAgain = call.repeatable || error.ran == RunState::NotRun;
+    if (mayTryAgain && !call.orphaned && call.attempts < mostAttempts
+        && now - call.arrived < this->context.settings.endpointWait) {
+        call.excluded.push_back(call.endpointId);
+        call.phase = CallPhase::AwaitsRetry;
+        const auto most = firstRetryDelay * (1 << std::min(call.attempts, 5));
+        std::uniform_int_distribution<std::int64_t> jitter(most.count() / 2, most.count());
+        call.due = now + std::chrono::milliseconds(jitter(this->context.random));
+        return;
+    }
+    if (call.orphaned) {
+        this->fail(call, error, now, 0);
+        return;
+    }
+    const bool notRun = error.ran == RunState::NotRun;
+    auto entry = notRun ? this->context.ledger.onNotSent(call.program, call.callKey)
+                        : this->context.ledger.onUnknown(call.program, call.callKey);
+    if (entry && !call.repeatable)
+        static_cast<void>(this->context.durable.append(call.program, { *entry }, Unattended {}, now));
+    this->context.ledger.onRecorded(call.program, call.callKey);
+    const auto refusal = notRun || call.repeatable
+        ? error
+        : core::Error(ResultCode::OutcomeUnknown, "the call may have run and is not sent again: " + error.message,
+            RunState::MayHaveRun);
+    this->fail(call, refusal, now, notRun ? shortRetryMs : 0);
+}
+
+void ServiceCalls::onRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now)
+{
+    this->context.ledger.onRecorded(call.program, call.callKey);
+    this->respond(call, error ? "uncommitted" : "committed", now);
+}
+
+void ServiceCalls::respond(Call& call, const std::string& commitState, core::TimePoint now)
+{
+    auto joined = call.joined;
+    joined.push_back(call.id);
+    const auto answer = call.serviceAnswer;
+    for (const auto id : joined) {
+        auto* each = this->context.calls.find(id);
+        if (each == nullptr)
+            continue;
+        this->context.observe(*each, commitState.empty() ? "answered" : commitState, now);
+        http::Headers headers { { "X-Request-Id", each->requestId } };
+        if (!answer.contentType.empty())
+            headers.push_back({ "Content-Type", answer.contentType });
+        if (!commitState.empty())
+            headers.push_back({ "X-Commit-State", commitState });
+        this->context.answer(*each, answer.status, std::move(headers), answer.body);
+    }
+}
+
+void ServiceCalls::fail(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs)
+{
+    if (call.reservation != 0 && error.ran == RunState::NotRun)
+        this->context.budgets.cancel(call.program, call.reservation);
+    else if (call.reservation != 0)
+        this->context.budgets.settle(call.program, call.reservation, 0);
+    this->context.observe(call, "failed", now);
+    this->context.refuse(call, error, retryAfterMs);
+}
+
+void ServiceCalls::join(Call& call, const std::string& runningRequest)
+{
+    const auto matches = this->context.calls.select(
+        [&](const Call& other) { return other.requestId == runningRequest && other.id != call.id; });
+    if (matches.empty()) {
+        this->context.refuse(
+            call, { ResultCode::CallInProgress, "the call is running", RunState::MayHaveRun }, shortRetryMs);
+        return;
+    }
+    this->context.calls.find(matches.front())->joined.push_back(call.id);
+    call.phase = CallPhase::Joined;
+}
+
+void ServiceCalls::tick(core::TimePoint now)
+{
+    const auto due
+        = this->context.calls.select([&](const Call& call) { return call.service() != nullptr && call.due <= now; });
+    for (const auto id : due) {
+        auto* call = this->context.calls.find(id);
+        if (call == nullptr)
+            continue;
+        if (call->phase == CallPhase::AwaitsRetry) {
+            this->dispatch(*call, now);
+        } else if (call->phase == CallPhase::Recording) {
+            // The record stays queued; equal calls that come later find it in the program's state.
+            this->context.ledger.onRecorded(call->program, call->callKey);
+            this->respond(*call, "pending", now);
+        } else if (call->phase == CallPhase::AwaitsRecords) {
+            const auto entry = this->context.ledger.abandon(call->program, call->callKey);
+            if (entry)
+                static_cast<void>(this->context.durable.append(call->program, { *entry }, Unattended {}, now));
+            this->fail(*call, { ResultCode::StoreUnavailable, "the intent could not be recorded in time" }, now);
+        }
+    }
+}
+
+void ServiceCalls::onPartitionDropped(Call& call)
+{
+    if (call.phase == CallPhase::Running && !call.repeatable) {
+        // The call has left: its answer still goes to the caller, and to the new owner for its records.
+        call.orphaned = true;
+        return;
+    }
+    const bool mayHaveRun = call.attempts > 0;
+    const auto ran = mayHaveRun ? RunState::MayHaveRun : RunState::NotRun;
+    this->context.refuse(call, { ResultCode::OwnerChanged, "the program has another owner now", ran }, shortRetryMs);
+}
+
+void ServiceCalls::reportLateResult(const Call& call, const services::ServiceAnswer& answer)
+{
+    const auto owner = this->context.durable.ownerOf(call.partition);
+    if (owner.empty() || owner == this->context.settings.node)
+        return;
+    SendToNode message { owner, {} };
+    auto* report = message.envelope.mutable_outcome_report();
+    report->set_partition(call.partition);
+    report->set_customer(call.program.customer);
+    report->set_program(call.program.program);
+    report->set_key(call.callKey);
+    report->set_digest(call.service()->digest);
+    report->set_request_id(call.requestId);
+    report->set_status(static_cast<std::uint32_t>(answer.status));
+    report->set_content_type(answer.contentType);
+    report->set_body(answer.body);
+    this->context.effects.push_back(std::move(message));
+}
+
+void ServiceCalls::onOutcomeReported(const nodes::wire::OutcomeReport& report, core::TimePoint now)
+{
+    const core::ProgramKey program { report.customer(), report.program() };
+    const auto partition = this->context.durable.partitionOf(program);
+    if (!this->context.durable.serves(partition))
+        return;
+    const state::CallResult result { report.status(), report.content_type(), report.body() };
+    const auto entry = state::CallLedger::lateResult(
+        program, this->context.durable.find(program), report.key(), report.request_id(), result);
+    if (entry)
+        static_cast<void>(this->context.durable.append(program, { *entry }, Unattended {}, now));
+}
+
+void ServiceCalls::fetch(Call& call)
+{
+    const auto& wanted = std::get<callers::FetchCall>(call.operation);
+    const auto* program = this->context.durable.find(call.program);
+    if (program == nullptr || !program->calls.contains(wanted.key)) {
+        this->context.refuse(call, { ResultCode::UnknownCall, "no call with this key is recorded" });
+        return;
+    }
+    const auto& stored = program->calls.at(wanted.key);
+    const std::string commitState = this->context.durable.isPending(call.program) ? "pending" : "committed";
+    switch (stored.outcome) {
+    case state::CallOutcome::Finished:
+        this->context.answer(call, static_cast<int>(stored.status),
+            { { "X-Commit-State", commitState }, { "Content-Type", stored.contentType },
+                { "X-Request-Id", stored.requestId } },
+            stored.body);
+        return;
+    case state::CallOutcome::NotRun:
+        this->context.refuse(call, { ResultCode::UnknownCall, "the call did not run" });
+        return;
+    case state::CallOutcome::Intended:
+        if (this->context.ledger.isRunning(call.program, wanted.key)) {
+            this->context.refuse(
+                call, { ResultCode::CallInProgress, "the call is running", RunState::MayHaveRun }, shortRetryMs);
+            return;
+        }
+        [[fallthrough]];
+    case state::CallOutcome::Unknown:
+        this->context.refuse(call, { ResultCode::OutcomeUnknown, "the call may have run", RunState::MayHaveRun });
+        return;
+    }
+}
+
+} // namespace lagoontiller::control
--- /dev/null
+++ b/source/control/ServiceCalls.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "control/Context.h"
+
+namespace lagoontiller::control {
+
+/// \brief Tool and plain service calls at the owner of their program: at most once where they may not be repeated.
+class ServiceCalls {
+public:
+    explicit ServiceCalls(Context& context)
+        : context(context)
+    {
+    }
+
+    /// \brief Starts a call whose partition this node serves.
+    void start(Call& call, core::TimePoint now);
+    /// \brief The records that open the program are durable.
+    void onStartRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now);
+    void onIntentRecorded(
+        Call& call, const std::optional<core::Error>& error, core::TimePoint firstSent, core::TimePoint now);
+    void onFinished(const ServiceFinished& event, core::TimePoint now);
+    void onRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now);
+    void tick(core::TimePoint now);
+    void onPartitionDropped(Call& call);
+    /// \brief A node that lost a partition reports the result of a call that it had sent.
+    void onOutcomeReported(const nodes::wire::OutcomeReport& report, core::TimePoint now);
+    /// \brief Answers from the recorded result of a call with this key.
+    void fetch(Call& call);
+
+private:
+    void join(Call& call, const std::string& runningRequest);
+    [[nodiscard]] bool reserve(Call& call, core::TimePoint now);
+    void dispatch(Call& call, core::TimePoint now);
+    void onAnswer(Call& call, services::ServiceAnswer answer, core::TimePoint now);
+    void onFailure(Call& call, const core::Error& error, core::TimePoint now);
+    void record(Call& call, std::optional<records::Entry> entry, core::TimePoint now);
+    void respond(Call& call, const std::string& commitState, core::TimePoint now);
+    void fail(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs = shortRetryMs);
+    void reportLateResult(const Call& call, const services::ServiceAnswer& answer);
+
+    Context& context;
+};
+
+} // namespace lagoontiller::control
--- /dev/null
+++ b/source/control/Turns.cpp
@@ -0,0 +1,442 @@
+#include "control/Turns.h"
+
+#include "callers/ChatAnswer.h"
+#include "control/Overloaded.h"
+#include "control/impl/TurnMessages.h"
+#include "core/Log.h"
+
+namespace lagoontiller::control {
+
+namespace {
+
+using core::ResultCode;
+using nlohmann::json;
+
+constexpr int mostAttempts = 5;
+constexpr auto firstRetryDelay = std::chrono::milliseconds(50);
+
+policy::FailureKind policyKind(const engines::EngineFailed& failure)
+{
+    if (failure.status == 429 || failure.status == 503)
+        return policy::FailureKind::Overloaded;
+    if (failure.status != 0 && failure.status != 200)
+        return policy::FailureKind::ServerError;
+    switch (failure.kind) {
+    case http::FailureKind::NotConnected:
+        return policy::FailureKind::ConnectionRefused;
+    case http::FailureKind::NoAnswer:
+    case http::FailureKind::Interrupted:
+        return policy::FailureKind::Crashed;
+    case http::FailureKind::FirstByteTimeout:
+        return policy::FailureKind::TimedOut;
+    case http::FailureKind::SilenceTimeout:
+        return policy::FailureKind::Silent;
+    case http::FailureKind::Cancelled:
+        return policy::FailureKind::Cancelled;
+    }
+    return policy::FailureKind::Crashed;
+}
+
+std::string serviceOfModel(const document::Document& document, const std::string& model)
+{
+    for (const auto& service : document.services()) {
+        const bool serves = std::find(service.models.begin(), service.models.end(), model) != service.models.end();
+        if (service.kind == document::ServiceKind::Model && serves)
+            return service.name;
+    }
+    return {};
+}
+
+} // namespace
+
+void Turns::start(Call& call, core::TimePoint now)
+{
+    const auto* program = this->context.durable.find(call.program);
+    const auto* model = call.model();
+    if (call.document->model(model->model) == nullptr || serviceOfModel(*call.document, model->model).empty()) {
+        this->context.refuse(
+            call, { ResultCode::UnknownModel, "no service of the document has model " + model->model });
+        return;
+    }
+    call.turn = model->identity.turn.value_or(program == nullptr ? 1 : program->lastTurn() + 1);
+    this->decide(call, now);
+}
+
+state::TurnRequest Turns::turnRequest(const Call& call) const
+{
+    return { call.program, call.turn, call.model()->digest, call.requestId };
+}
+
+void Turns::decide(Call& call, core::TimePoint now)
+{
+    const auto decision
+        = this->context.turns.decide(this->turnRequest(call), this->context.durable.find(call.program), now);
+    std::visit(Overloaded {
+                   [&](const state::RunTurn& run) {
+                       call.turnAttempt = run.attempt;
+                       this->run(call, now);
+                   },
+                   [&](const state::WaitTurn& wait) {
+                       call.phase = CallPhase::AwaitsTurn;
+                       call.due = wait.until;
+                   },
+                   [&](const state::JoinTurn& running) { this->join(call, running.requestId); },
+                   [&](const state::ReplayTurn& stored) { this->replay(call, stored.turn); },
+                   [&](const state::RefuseTurn& refused) { this->context.refuse(call, refused.error, shortRetryMs); },
+               },
+        decision);
+}
+
+void Turns::run(Call& call, core::TimePoint now)
+{
+    auto entries = openProgram(this->context, call, now);
+    if (!entries) {
+        this->fail(call, entries.error(), now, 0);
+        return;
+    }
+    impl::prepareMessages(call, this->context.durable.find(call.program));
+    const auto decision = this->context.budgets.reserve(
+        call.program, call.promptTokens + call.model()->maximumTokens, state::WorkKind::Turn, now);
+    if (const auto* refused = std::get_if<state::BudgetRefused>(&decision)) {
+        this->fail(call, refused->error, now, 0);
+        return;
+    }
+    if (const auto* chunk = std::get_if<state::CommitChunk>(&decision)) {
+        call.reservation = chunk->reservation;
+        auto& entry = entries->emplace_back();
+        const auto root = state::rootOf(call.program);
+        entry.set_customer(root.customer);
+        entry.set_program(root.program);
+        entry.mutable_budget_reserved()->set_total_tokens(chunk->totalTokens);
+        call.chunkTokens = chunk->totalTokens;
+    } else {
+        call.reservation = std::get<state::SpendNow>(decision).reservation;
+    }
+    call.startEntries = std::move(*entries);
+    this->dispatch(call, now);
+}
+
+DispatchRequest Turns::dispatchRequest(const Call& call) const
+{
+    const auto* model = call.model();
+    DispatchRequest request;
+    request.service = serviceOfModel(*call.document, model->model);
+    request.model = model->model;
+    request.cacheKey = cacheKey(call.program);
+    const auto separator = call.program.program.rfind('~');
+    if (separator != std::string::npos)
+        request.parentCacheKey = cacheKey({ call.program.customer, call.program.program.substr(0, separator) });
+    request.promptTokens = call.promptEstimate;
+    request.expectedTokens = model->maximumTokens;
+    request.requestBytes = call.request.body.size();
+    request.excluded = call.excluded;
+    return request;
+}
+
+void Turns::dispatch(Call& call, core::TimePoint now)
+{
+    const auto destination = this->context.dispatch.choose(this->dispatchRequest(call), now);
+    if (!destination) {
+        if (now - call.arrived > this->context.settings.endpointWait)
+            this->fail(call, destination.error(), now);
+        else
+            this->retryLater(call, now);
+        return;
+    }
+    const auto* program = this->context.durable.find(call.program);
+    const bool known = program != nullptr && program->endpointsUsed.contains(destination->address);
+    if (!known)
+        call.startEntries.emplace_back().mutable_endpoint_used()->set_endpoint(destination->address);
+    // A new endpoint alone does not keep a known program waiting while the store is down: the work may be repeated and
+    // the record follows when the store is back.
+    const bool mustWait = !call.startEntries.empty()
+        && (call.chunkTokens > 0 || program == nullptr || !program->opened || this->context.durable.storeAvailable());
+    if (call.startEntries.empty()) {
+        this->send(call, *destination, now);
+        return;
+    }
+    if (mustWait && !this->context.durable.storeAvailable()) {
+        this->fail(
+            call, { ResultCode::StoreUnavailable, "the budget cannot be reserved while the store is down" }, now);
+        return;
+    }
+    call.destination = *destination;
+    const Purpose purpose = mustWait ? Purpose(StartRecorded { call.id }) : Purpose(Unattended {});
+    const auto appended = this->context.durable.append(call.program, std::move(call.startEntries), purpose, now);
+    call.startEntries.clear();
+    if (!appended) {
+        this->fail(call, appended.error(), now);
+        return;
+    }
+    call.phase = CallPhase::AwaitsRecords;
+    call.due = now + this->context.settings.endpointWait;
+    if (!mustWait)
+        this->send(call, *destination, now);
+}
+
+void Turns::onStartRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now)
+{
+    if (call.phase != CallPhase::AwaitsRecords)
+        return;
+    if (error) {
+        this->fail(call, *error, now);
+        return;
+    }
+    if (call.chunkTokens > 0)
+        this->context.budgets.onCommitted(call.program, call.chunkTokens);
+    call.chunkTokens = 0;
+    this->send(call, call.destination, now);
+}
+
+void Turns::send(Call& call, const Destination& destination, core::TimePoint now)
+{
+    const auto request = this->dispatchRequest(call);
+    this->context.calls.setAttempt(call, ++this->context.lastAttempt);
+    ++call.attempts;
+    call.phase = CallPhase::Running;
+    call.endpointId = destination.endpoint;
+    call.endpoint = destination.address;
+    this->context.dispatch.sent(call.attempt, destination, request, now);
+    const auto* model = call.model();
+    if (!call.answerOpen) {
+        call.answerOpen = true;
+        const AnswerForm form { call.requestId, model->model, call.program.program, call.turn,
+            this->context.unixMs / 1000 };
+        this->context.effects.push_back(OpenAnswer { call.id, model->stream, form });
+    }
+    engines::EngineRequest outgoing;
+    outgoing.endpoint = destination.address;
+    outgoing.requestId = call.requestId + "." + std::to_string(call.attempts);
+    outgoing.program = cacheKey(call.program);
+    const auto* programClass = classOf(this->context, call);
+    outgoing.priority = programClass == nullptr ? 0 : static_cast<int>(programClass->priority);
+    outgoing.body = call.outgoingBody;
+    outgoing.resumeText = call.text;
+    outgoing.silenceTimeout = std::chrono::milliseconds(call.document->limits().streamSilenceMs);
+    if (const auto* service = call.document->service(request.service))
+        outgoing.firstByteTimeout = std::chrono::milliseconds(service->timeoutMs);
+    this->context.effects.push_back(Generate { call.attempt, call.id, std::move(outgoing) });
+}
+
+void Turns::onFirstToken(AttemptId attempt, core::TimePoint now)
+{
+    this->context.dispatch.firstToken(attempt, now);
+    if (const auto* call = this->context.calls.findAttempt(attempt)) {
+        const auto* programClass = classOf(this->context, *call);
+        this->context.metrics.observe("lagoontiller_first_token_ms",
+            { { "customer", call->program.customer }, { "class", programClass == nullptr ? "" : programClass->name } },
+            static_cast<double>((now - call->arrived).count()) / 1000.0);
+    }
+}
+
+records::Entry Turns::finishedEntry(
+    const Call& call, const std::string& text, const engines::EngineFinished& result) const
+{
+    records::Entry entry;
+    auto* finished = entry.mutable_turn_finished();
+    finished->set_turn(call.turn);
+    finished->set_digest(call.model()->digest);
+    json messages = call.addedMessages;
+    messages.push_back(callers::assistantMessage(text, result));
+    finished->set_messages(messages.dump(-1, ' ', false, json::error_handler_t::replace));
+    finished->set_answer(call.wholeAnswer);
+    finished->mutable_usage()->set_prompt_tokens(result.usage.promptTokens);
+    finished->mutable_usage()->set_completion_tokens(result.usage.completionTokens);
+    finished->mutable_usage()->set_cached_tokens(result.usage.cachedTokens);
+    finished->set_request_id(call.requestId);
+    finished->set_attempt(call.turnAttempt);
+    finished->set_endpoint(call.endpoint);
+    return entry;
+}
+
+void Turns::onFinished(const GenerationFinished& event, core::TimePoint now)
+{
+    this->context.dispatch.finished(event.attempt, event.result.usage, now);
+    auto* call = this->context.calls.findAttempt(event.attempt);
+    const bool accepted = call != nullptr && call->phase == CallPhase::Running
+        && this->context.turns.accepts(call->program, call->turn, call->turnAttempt, call->requestId);
+    if (!accepted) {
+        core::logInfo("stale_answer_dropped").with("attempt", event.attempt);
+        return;
+    }
+    const callers::ChatHead head { call->requestId, call->model()->model, this->context.unixMs / 1000 };
+    call->wholeAnswer = callers::wholeAnswer(head, event.text, event.result);
+    const auto& usage = event.result.usage;
+    this->context.budgets.settle(call->program, call->reservation, usage.promptTokens + usage.completionTokens);
+    this->context.metrics.add("lagoontiller_prompt_tokens_cached_total", { { "customer", call->program.customer } },
+        static_cast<double>(usage.cachedTokens));
+    this->context.metrics.add("lagoontiller_prompt_tokens_recomputed_total", { { "customer", call->program.customer } },
+        static_cast<double>(usage.promptTokens - std::min(usage.promptTokens, usage.cachedTokens)));
+    this->context.effects.push_back(FinishAnswer { call->id, callers::finishChunk(head, event.result) });
+    call->phase = CallPhase::Recording;
+    call->due = now + this->context.settings.commitWait;
+    const auto appended = this->context.durable.append(
+        call->program, { this->finishedEntry(*call, event.text, event.result) }, TurnRecorded { call->id }, now);
+    const auto id = call->id;
+    if (!appended) {
+        this->context.turns.onFailed(call->program, call->turn);
+        this->close(*call, "uncommitted", now);
+        return;
+    }
+    this->handle(this->context.turns.onAnswered(call->program, call->turn), now);
+    if (auto* still = this->context.calls.find(id); still != nullptr && !this->context.durable.storeAvailable())
+        this->close(*still, "pending", now);
+}
+
+void Turns::onFailed(const GenerationFailed& event, core::TimePoint now)
+{
+    const auto kind = policyKind(event.failure);
+    this->context.dispatch.failed(event.attempt, kind, now);
+    auto* call = this->context.calls.findAttempt(event.attempt);
+    if (call == nullptr || call->phase != CallPhase::Running)
+        return;
+    core::logWarning("attempt_failed")
+        .with("request", call->requestId)
+        .with("endpoint", call->endpoint)
+        .with("kind", http::name(event.failure.kind))
+        .with("status", event.failure.status);
+    this->context.effects.push_back(
+        CancelGeneration { event.attempt, call->endpoint, call->requestId + "." + std::to_string(call->attempts) });
+    const bool refused = event.failure.status >= 400 && event.failure.status < 500 && event.failure.status != 429;
+    if (refused) {
+        this->fail(*call,
+            { ResultCode::EndpointRefused, "the endpoint answered " + std::to_string(event.failure.status) }, now, 0);
+        return;
+    }
+    call->text = event.text;
+    call->excluded.push_back(call->endpointId);
+    if (call->attempts >= mostAttempts) {
+        this->fail(*call, { ResultCode::EndpointFailed, "several endpoints failed", core::RunState::MayHaveRun }, now);
+        return;
+    }
+    call->turnAttempt = this->context.turns.nextAttempt(call->program, call->turn);
+    this->retryLater(*call, now);
+}
+
+void Turns::retryLater(Call& call, core::TimePoint now)
+{
+    const auto most = firstRetryDelay * (1 << std::min(call.attempts, 5));
+    std::uniform_int_distribution<std::int64_t> jitter(most.count() / 2, most.count());
+    call.phase = CallPhase::AwaitsRetry;
+    call.due = now + std::chrono::milliseconds(jitter(this->context.random));
+}
+
+void Turns::onRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now)
+{
+    this->close(call, error ? "uncommitted" : "committed", now);
+}
+
+void Turns::close(Call& call, const std::string& commitState, core::TimePoint now)
+{
+    const auto finish = [&](Call& each) {
+        this->context.effects.push_back(CloseAnswer { each.id, commitState, call.wholeAnswer });
+        this->context.observe(each, commitState, now);
+    };
+    for (const auto joined : std::vector<CallId>(call.joined)) {
+        if (auto* other = this->context.calls.find(joined)) {
+            finish(*other);
+            this->context.calls.erase(joined);
+        }
+    }
+    finish(call);
+    this->context.calls.erase(call.id);
+}
+
+void Turns::fail(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs)
+{
+    const auto program = call.program;
+    const auto turn = call.turn;
+    if (call.reservation != 0 && error.ran == core::RunState::NotRun && call.attempts == 0)
+        this->context.budgets.cancel(program, call.reservation);
+    else if (call.reservation != 0)
+        this->context.budgets.settle(program, call.reservation, call.promptTokens + call.model()->maximumTokens);
+    this->context.turns.onFailed(program, turn);
+    this->context.observe(call, "failed", now);
+    this->context.refuse(call, error, retryAfterMs);
+}
+
+void Turns::join(Call& call, const std::string& runningRequest)
+{
+    const auto matches = this->context.calls.select(
+        [&](const Call& other) { return other.requestId == runningRequest && other.id != call.id; });
+    if (matches.empty()) {
+        this->context.refuse(call,
+            { ResultCode::CallInProgress, "the turn is being answered", core::RunState::MayHaveRun }, shortRetryMs);
+        return;
+    }
+    auto* running = this->context.calls.find(matches.front());
+    running->joined.push_back(call.id);
+    call.phase = CallPhase::Joined;
+    call.answerOpen = true;
+    if (!running->answerOpen) {
+        running->answerOpen = true;
+        const AnswerForm form { running->requestId, running->model()->model, running->program.program, running->turn,
+            this->context.unixMs / 1000 };
+        this->context.effects.push_back(OpenAnswer { running->id, running->model()->stream, form });
+    }
+    this->context.effects.push_back(JoinAnswer { call.id, running->id, call.model()->stream });
+}
+
+void Turns::replay(Call& call, const state::StoredTurn& turn)
+{
+    const std::string commitState = this->context.durable.isPending(call.program) ? "pending" : "committed";
+    http::Headers headers { { "X-Turn", std::to_string(call.turn) }, { "X-Request-Id", turn.requestId },
+        { "X-Commit-State", commitState } };
+    if (!call.model()->stream) {
+        this->context.answer(call, 200, std::move(headers), turn.answer);
+        return;
+    }
+    headers.push_back({ "Content-Type", "text/event-stream" });
+    this->context.answer(call, 200, std::move(headers),
+        callers::storedAnswerAsEvents(turn.answer)
+            + callers::commitEvents(call.program.program, call.turn, commitState));
+}
+
+void Turns::handle(const std::vector<state::TurnEvent>& events, core::TimePoint now)
+{
+    for (const auto& event : events) {
+        const auto& request
+            = std::visit([](const auto& each) -> const state::TurnRequest& { return each.request; }, event);
+        const auto waiting = this->context.calls.select([&](const Call& call) {
+            return call.phase == CallPhase::AwaitsTurn && call.requestId == request.requestId;
+        });
+        for (const auto id : waiting) {
+            auto* call = this->context.calls.find(id);
+            if (const auto* late = std::get_if<state::TurnTimedOut>(&event))
+                this->context.refuse(*call, late->error, shortRetryMs);
+            else
+                this->decide(*call, now);
+        }
+    }
+}
+
+void Turns::tick(core::TimePoint now)
+{
+    this->handle(this->context.turns.tick(now), now);
+    const auto due
+        = this->context.calls.select([&](const Call& call) { return call.model() != nullptr && call.due <= now; });
+    for (const auto id : due) {
+        auto* call = this->context.calls.find(id);
+        if (call == nullptr)
+            continue;
+        if (call->phase == CallPhase::AwaitsRetry)
+            this->dispatch(*call, now);
+        else if (call->phase == CallPhase::Recording)
+            this->close(*call, "pending", now);
+        else if (call->phase == CallPhase::AwaitsRecords)
+            this->fail(*call, { ResultCode::StoreUnavailable, "the store did not answer in time" }, now);
+    }
+}
+
+void Turns::onPartitionDropped(Call& call)
+{
+    const bool started = call.attempts > 0;
+    if (call.phase == CallPhase::Running) {
+        this->context.effects.push_back(
+            CancelGeneration { call.attempt, call.endpoint, call.requestId + "." + std::to_string(call.attempts) });
+    }
+    const auto ran = started ? core::RunState::MayHaveRun : core::RunState::NotRun;
+    this->context.refuse(call, { ResultCode::OwnerChanged, "the program has another owner now", ran }, shortRetryMs);
+}
+
+} // namespace lagoontiller::control
--- /dev/null
+++ b/source/control/Turns.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "control/Context.h"
+
+namespace lagoontiller::control {
+
+/// \brief Model calls at the owner of their program: order, budget, endpoint, attempts, commit.
+class Turns {
+public:
+    explicit Turns(Context& context)
+        : context(context)
+    {
+    }
+
+    /// \brief Starts a call whose partition this node serves.
+    void start(Call& call, core::TimePoint now);
+    void onStartRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now);
+    void onFirstToken(AttemptId attempt, core::TimePoint now);
+    void onFinished(const GenerationFinished& event, core::TimePoint now);
+    void onFailed(const GenerationFailed& event, core::TimePoint now);
+    void onRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now);
+    /// \brief Ends waits and starts due attempts.
+    void tick(core::TimePoint now);
+    void handle(const std::vector<state::TurnEvent>& events, core::TimePoint now);
+    /// \brief The call's program has another owner now.
+    void onPartitionDropped(Call& call);
+
+private:
+    [[nodiscard]] state::TurnRequest turnRequest(const Call& call) const;
+    void decide(Call& call, core::TimePoint now);
+    void run(Call& call, core::TimePoint now);
+    void join(Call& call, const std::string& runningRequest);
+    void replay(Call& call, const state::StoredTurn& turn);
+    void dispatch(Call& call, core::TimePoint now);
+    void send(Call& call, const Destination& destination, core::TimePoint now);
+    void retryLater(Call& call, core::TimePoint now);
+    void fail(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs = shortRetryMs);
+    void close(Call& call, const std::string& commitState, core::TimePoint now);
+    [[nodiscard]] DispatchRequest dispatchRequest(const Call& call) const;
+    [[nodiscard]] records::Entry finishedEntry(
+        const Call& call, const std::string& text, const engines::EngineFinished& result) const;
+
+    Context& context;
+};
+
+} // namespace lagoontiller::control
--- /dev/null
+++ b/source/control/impl/TurnMessages.cpp
@@ -0,0 +1,68 @@
+#include "control/impl/TurnMessages.h"
+
+namespace lagoontiller::control::impl {
+
+namespace {
+
+using nlohmann::json;
+
+// Tokens that chat templates add around each message.
+constexpr std::uint64_t templateTokens = 16;
+constexpr std::uint64_t bytesPerToken = 4;
+
+struct History {
+    json messages = json::array();
+    std::uint64_t tokens = 0;
+};
+
+History historyOf(const state::ProgramState* program)
+{
+    History history;
+    if (program == nullptr)
+        return history;
+    for (const auto& [number, turn] : program->turns) {
+        auto added = json::parse(turn.messages, nullptr, false);
+        if (added.is_array())
+            history.messages.insert(history.messages.end(), added.begin(), added.end());
+        history.tokens = turn.usage.charged();
+    }
+    return history;
+}
+
+std::uint64_t bytesOf(const json& messages)
+{
+    std::uint64_t bytes = 0;
+    for (const auto& message : messages)
+        bytes += message.dump().size();
+    return bytes;
+}
+
+} // namespace
+
+void prepareMessages(Call& call, const state::ProgramState* program)
+{
+    auto history = historyOf(program);
+    const auto& model = *call.model();
+    const auto& received = model.body["messages"];
+    const bool extends = model.appendHistory || received.size() >= history.messages.size();
+    call.addedMessages = json::array();
+    if (model.appendHistory) {
+        call.addedMessages = received;
+    } else if (extends) {
+        for (std::size_t index = history.messages.size(); index < received.size(); ++index)
+            call.addedMessages.push_back(received[index]);
+    } else {
+        call.addedMessages = received;
+    }
+    const auto addedBytes = bytesOf(call.addedMessages) + templateTokens * (call.addedMessages.size() + 1);
+    const auto known = extends ? history.tokens : 0;
+    call.promptTokens = known + addedBytes;
+    call.promptEstimate = known + addedBytes / bytesPerToken;
+    call.outgoingBody = model.body;
+    if (model.appendHistory) {
+        history.messages.insert(history.messages.end(), received.begin(), received.end());
+        call.outgoingBody["messages"] = std::move(history.messages);
+    }
+}
+
+} // namespace lagoontiller::control::impl
--- a/source/core/Log.h
+++ b/source/core/Log.h
@@ -40,15 +40,15 @@
     std::string text;
 };
 
-[[nodiscard]] inline LogLine logInfo(std::string_view event)
+inline LogLine logInfo(std::string_view event)
 {
     return LogLine(LogLevel::Info, event);
 }
-[[nodiscard]] inline LogLine logWarning(std::string_view event)
+inline LogLine logWarning(std::string_view event)
 {
     return LogLine(LogLevel::Warning, event);
 }
-[[nodiscard]] inline LogLine logError(std::string_view event)
+inline LogLine logError(std::string_view event)
 {
     return LogLine(LogLevel::Error, event);
 }
--- a/source/engines/EngineClient.cpp
+++ b/source/engines/EngineClient.cpp
@@ -10,7 +10,8 @@
 
 constexpr auto controlTimeout = std::chrono::seconds(3);
 
-http::Request controlRequest(const std::string& method, const std::string& endpoint, const std::string& path, const json& body)
+http::Request controlRequest(
+    const std::string& method, const std::string& endpoint, const std::string& path, const json& body)
 {
     http::Request request;
     request.method = method;
@@ -31,7 +32,6 @@
     load.kvUsed = body.value("kv_used", std::uint64_t(0));
     load.kvCapacity = body.value("kv_capacity", std::uint64_t(0));
     load.sampledMs = body.value("sampled_ms", std::int64_t(0));
-    load.ageMs = body.value("age_ms", std::int64_t(0));
     return load;
 }
 
@@ -61,10 +61,12 @@
 
 void EngineClient::cancel(const std::string& endpoint, const std::string& requestId) const
 {
-    this->client.fetch(controlRequest("POST", endpoint, "/v1/cancel", { { "request_id", requestId } }), [](const auto&) {});
+    this->client.fetch(
+        controlRequest("POST", endpoint, "/v1/cancel", { { "request_id", requestId } }), [](const auto&) {});
 }
 
-void EngineClient::release(const std::string& endpoint, const std::string& program, std::function<void(bool)> handler) const
+void EngineClient::release(
+    const std::string& endpoint, const std::string& program, std::function<void(bool)> handler) const
 {
     this->client.fetch(controlRequest("POST", endpoint, "/v1/release", { { "program", program } }),
         [handler = std::move(handler)](const auto& answer) { handler(answer && answer->status == 200); });
@@ -72,28 +74,31 @@
 
 void EngineClient::load(const std::string& endpoint, std::function<void(core::Expected<EngineLoad>)> handler) const
 {
-    this->client.fetch(controlRequest("GET", endpoint, "/v1/load", nullptr), [handler = std::move(handler)](const auto& answer) {
-        const auto body = answer ? json::parse(answer->body, nullptr, false) : json();
-        if (!answer || answer->status != 200 || !body.is_object())
-            handler(core::failure(core::ResultCode::EndpointFailed, "no load report"));
-        else
-            handler(loadFrom(body));
-    });
+    this->client.fetch(
+        controlRequest("GET", endpoint, "/v1/load", nullptr), [handler = std::move(handler)](const auto& answer) {
+            const auto body = answer ? json::parse(answer->body, nullptr, false) : json();
+            if (!answer || answer->status != 200 || !body.is_object())
+                handler(core::failure(core::ResultCode::EndpointFailed, "no load report"));
+            else
+                handler(loadFrom(body));
+        });
 }
 
 void EngineClient::order(
     const std::string& endpoint, const json& order, std::function<void(core::Expected<void>)> handler) const
 {
-    this->client.fetch(controlRequest("POST", endpoint, "/v1/orders", order), [handler = std::move(handler)](const auto& answer) {
-        if (!answer)
-            handler(core::failure(core::ResultCode::EndpointFailed, answer.error().message, core::RunState::MayHaveRun));
-        else if (answer->status == 409)
-            handler(core::failure(core::ResultCode::StaleFence, answer->body));
-        else if (answer->status != 200)
-            handler(core::failure(core::ResultCode::EndpointRefused, answer->body));
-        else
-            handler({});
-    });
+    this->client.fetch(
+        controlRequest("POST", endpoint, "/v1/orders", order), [handler = std::move(handler)](const auto& answer) {
+            if (!answer)
+                handler(core::failure(
+                    core::ResultCode::EndpointFailed, answer.error().message, core::RunState::MayHaveRun));
+            else if (answer->status == 409)
+                handler(core::failure(core::ResultCode::StaleFence, answer->body));
+            else if (answer->status != 200)
+                handler(core::failure(core::ResultCode::EndpointRefused, answer->body));
+            else
+                handler({});
+        });
 }
 
 } // namespace lagoontiller::engines
--- a/source/engines/EngineClient.h
+++ b/source/engines/EngineClient.h
@@ -37,8 +37,7 @@
 };
 
 /// \brief The engine accepted the request and its answer began.
-struct EngineStarted {
-};
+struct EngineStarted { };
 
 struct EngineText {
     std::string text;
@@ -60,15 +59,13 @@
 
 using EngineEvent = std::variant<EngineStarted, EngineText, EngineFinished, EngineFailed>;
 
-/// \brief Load that an engine reports; `sampledMs` is the engine's clock and only orders reports of one engine.
+/// \brief Load that an engine reports, sampled at `sampledMs` (Unix time by the engine's clock, 0 when unknown).
 struct EngineLoad {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint64_t kvUsed = 0;
     std::uint64_t kvCapacity = 0;
     std::int64_t sampledMs = 0;
-    /// \brief How long ago the engine sampled it, as far as the engine says; 0 when it does not.
-    std::int64_t ageMs = 0;
 };
 
 /// \brief Model engines. Handlers run on the HTTP traffic thread.
@@ -85,7 +82,8 @@
     void release(const std::string& endpoint, const std::string& program, std::function<void(bool)> handler) const;
     void load(const std::string& endpoint, std::function<void(core::Expected<EngineLoad>)> handler) const;
     /// \brief Orders a model load, adapter load or role change; StaleFence when the engine knows a newer fence.
-    void order(const std::string& endpoint, const nlohmann::json& order, std::function<void(core::Expected<void>)> handler) const;
+    void order(const std::string& endpoint, const nlohmann::json& order,
+        std::function<void(core::Expected<void>)> handler) const;
 
 private:
     http::Client& client;
--- a/source/http/Message.cpp
+++ b/source/http/Message.cpp
@@ -5,20 +5,16 @@
 
 namespace lagoontiller::http {
 
-namespace {
-
-bool equalsIgnoringCase(std::string_view left, std::string_view right) noexcept
+bool sameName(std::string_view left, std::string_view right) noexcept
 {
     const auto same = [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); };
     return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(), same);
 }
 
-} // namespace
-
 std::string_view headerValue(const Headers& headers, std::string_view name) noexcept
 {
-    const auto found = std::find_if(headers.begin(), headers.end(),
-        [name](const Header& header) { return equalsIgnoringCase(header.name, name); });
+    const auto found = std::find_if(
+        headers.begin(), headers.end(), [name](const Header& header) { return sameName(header.name, name); });
     return found == headers.end() ? std::string_view {} : std::string_view(found->value);
 }
 
--- a/source/http/Message.h
+++ b/source/http/Message.h
@@ -17,6 +17,9 @@
 
 using Headers = std::vector<Header>;
 
+/// \brief Compares header names without regard to case.
+[[nodiscard]] bool sameName(std::string_view left, std::string_view right) noexcept;
+
 /// \brief Value of the first header with this name, compared without case; empty when there is none.
 [[nodiscard]] std::string_view headerValue(const Headers& headers, std::string_view name) noexcept;
 
@@ -63,8 +66,7 @@
     std::string_view bytes;
 };
 
-struct ResponseEnd {
-};
+struct ResponseEnd { };
 
 struct ResponseFailure {
     FailureKind kind = FailureKind::NotConnected;
--- /dev/null
+++ b/source/operators/OperatorApi.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "callers/HttpServer.h"
+#include "control/DocumentKeeper.h"
+#include "document/KeyHash.h"
+
+#include <functional>
+#include <nlohmann/json.hpp>
+
+namespace lagoontiller::operators {
+
+/// \brief JSON interface for operators: the document, its history and the node's status. Runs on the control thread.
+///
+/// Every request carries `Authorization: Bearer <operator key>`.
+class OperatorApi {
+public:
+    using StatusFunction = std::function<nlohmann::json()>;
+
+    OperatorApi(control::DocumentKeeper& documents, document::KeyHash operatorKey, StatusFunction status);
+
+    void handle(const callers::IncomingRequest& request, const callers::ResponseStreamPointer& response);
+
+private:
+    void showDocument(const callers::ResponseStreamPointer& response) const;
+    void acceptDocument(const callers::IncomingRequest& request, const callers::ResponseStreamPointer& response);
+    void showHistory(const callers::ResponseStreamPointer& response);
+
+    control::DocumentKeeper& documents;
+    document::KeyHash operatorKey;
+    StatusFunction status;
+};
+
+} // namespace lagoontiller::operators
--- a/source/settings/Settings.cpp
+++ b/source/settings/Settings.cpp
@@ -61,6 +61,7 @@
         .vmListAddress = addressOf(platform.text("vm_list_address")),
         .weightStoreAddress = addressOf(platform.text("weight_store_address")),
         .partitions = countOf(deployment, "partitions"),
+        .regions = deployment.list("regions"),
         .storeWritesPerSecond = countOf(platform, "store_writes_per_second"),
         .commitStreams = countOf(deployment, "commit_streams"),
         .trafficThreads = countOf(node, "traffic_threads"),
--- a/source/settings/Settings.h
+++ b/source/settings/Settings.h
@@ -33,6 +33,8 @@
     const document::Address weightStoreAddress;
     /// \brief Must be equal on all nodes.
     const std::uint32_t partitions;
+    /// \brief Must be equal on all nodes and stay fixed: they decide in which partition a program is.
+    const std::vector<std::string> regions;
     /// \brief Write budget of the whole deployment in transactions per second.
     const std::uint32_t storeWritesPerSecond;
     /// \brief Commit streams of the whole deployment; the budget is divided among them.
--- a/source/settings/SettingsSchema.cpp
+++ b/source/settings/SettingsSchema.cpp
@@ -55,6 +55,11 @@
 
 constexpr std::array deploymentFields {
     count("partitions", "256", 65'536, "Partitions of the program space; must be equal on all nodes."),
+    Field { .key = "regions",
+        .type = ValueType::NameList,
+        .presence = Required,
+        .help
+        = "All regions of the deployment; they place programs, so they must be equal on all nodes and stay fixed." },
     count("commit_streams", "12", 1024, "Commit streams of the whole deployment."),
 };
 
@@ -87,7 +92,7 @@
 constexpr std::array rules {
     SectionRule { "node", Once, true, "This process.", nodeFields },
     SectionRule { "platform", Once, true, "Services of the platform.", platformFields },
-    SectionRule { "deployment", AtMostOnce, true, "Numbers that all nodes must share.", deploymentFields },
+    SectionRule { "deployment", Once, true, "Numbers that all nodes must share.", deploymentFields },
     SectionRule { "keys", Once, true, "Keys between nodes and of operators.", keysFields },
 };
 
