--- a/source/state/PartitionOwnership.cpp
+++ b/source/state/PartitionOwnership.cpp
@@ -65,8 +65,8 @@
     this->lastOperation += 1;
     this->scan.operation = this->lastOperation;
     this->reads += 1;
-    effects.emplace_back(ScanRows {
-        this->scan.operation, std::string(ownerPrefix), this->scan.after, this->settings.scanPageRows });
+    effects.emplace_back(
+        ScanRows { this->scan.operation, std::string(ownerPrefix), this->scan.after, this->settings.scanPageRows });
 }
 
 void PartitionOwnership::restartScan(core::TimePoint at)
@@ -252,6 +252,9 @@
     const auto taken = std::move(*this->takeover);
     this->takeover.reset();
     for (const auto& [partition, row] : taken.rows) {
+        if (this->phase(partition) != PartitionPhase::Taking) {
+            continue; // A scan showed the row before this reply arrived.
+        }
         const auto version = result->versions.find(ownerKey(partition));
         if (version == result->versions.end()) {
             this->own.erase(partition); // The next scan shows the row as ours, and it is taken again.
@@ -307,8 +310,8 @@
     // Earlier ranges are read again by each takeover until a snapshot covers them.
     own.snapshotAt = known.row.earlier().empty() ? now : now - this->settings.snapshotAge;
     this->references.addSeen(this->recovery.takeSeenLogKeys());
-    effects.emplace_back(PartitionRecovered {
-        partition, own.epoch, known.version, own.takenFromHandOver, std::move(recovered.store) });
+    effects.emplace_back(
+        PartitionRecovered { partition, own.epoch, known.version, own.takenFromHandOver, std::move(recovered.store) });
 }
 
 void PartitionOwnership::learnRow(core::PartitionId partition, const Known& known, OwnershipEffects& effects)
--- a/source/state/PartitionOwnershipRows.cpp
+++ b/source/state/PartitionOwnershipRows.cpp
@@ -48,8 +48,8 @@
     const bool asked = this->snapshotAsked == partition;
     this->snapshotAsked.reset();
     const auto found = this->own.find(partition);
-    const bool owned = found != this->own.end() && found->second.phase == PartitionPhase::Owned
-        && found->second.epoch == epoch;
+    const bool owned
+        = found != this->own.end() && found->second.phase == PartitionPhase::Owned && found->second.epoch == epoch;
     if (!asked || !owned || !this->writer.idle()) {
         return;
     }
@@ -59,8 +59,7 @@
     write.version = known.version;
     write.row = known.row;
     write.replacedObject = known.row.snapshot_object();
-    write.objectKey
-        = snapshotObjectKey(partition, epoch, nextSequence, fmt::format("{:016x}", this->generator()));
+    write.objectKey = snapshotObjectKey(partition, epoch, nextSequence, fmt::format("{:016x}", this->generator()));
     write.row.set_snapshot_object(write.objectKey);
     write.row.set_first_sequence(nextSequence);
     write.row.clear_earlier();
@@ -103,17 +102,21 @@
     const impl::RowWriteOutcome& outcome, core::TimePoint now, OwnershipEffects& effects)
 {
     const auto& write = outcome.write;
+    // The partition may have been lost and be taken again since the write started: that tenure is not affected.
     const auto found = this->own.find(write.partition);
+    const bool sameTenure = found != this->own.end() && found->second.epoch == write.row.epoch();
     if (!outcome.written) {
         Known known;
         if (outcome.found && known.row.ParseFromString(outcome.found->value)) {
             known.version = outcome.found->version;
-            this->learnRow(write.partition, known, effects);
+            this->learnRow(write.partition, known, effects); // Ends the tenure when the row shows another epoch.
         }
         if (!write.objectKey.empty() && known.row.snapshot_object() != write.objectKey) {
             effects.emplace_back(DeleteObject { write.objectKey });
         }
-        this->endOwnership(write.partition, false, effects);
+        if (sameTenure) {
+            this->endOwnership(write.partition, false, effects);
+        }
         return;
     }
     if (this->rows.at(write.partition).version < outcome.version) {
@@ -121,7 +124,9 @@
         this->references.setRow(write.partition, write.row);
     }
     if (!write.row.successor().empty()) {
-        this->endOwnership(write.partition, true, effects);
+        if (sameTenure) {
+            this->endOwnership(write.partition, true, effects);
+        }
         return;
     }
     this->nextSnapshot = now + this->settings.snapshotInterval;
@@ -133,7 +138,7 @@
     if (!write.replacedObject.empty()) {
         effects.emplace_back(DeleteObject { write.replacedObject });
     }
-    if (found != this->own.end() && found->second.epoch == write.row.epoch()) {
+    if (sameTenure) {
         found->second.snapshotAt = now;
         effects.emplace_back(RowVersionChanged { write.partition, write.row.epoch(), outcome.version });
     }
--- a/source/state/impl/LogReferences.cpp
+++ b/source/state/impl/LogReferences.cpp
@@ -8,13 +8,13 @@
 
 namespace {
 
-    void moveAll(std::map<std::string, std::set<std::string>>& from, std::map<std::string, std::set<std::string>>& to)
-    {
-        for (auto& [stream, keys] : from) {
-            to[stream].merge(keys);
-        }
-        from.clear();
+void moveAll(std::map<std::string, std::set<std::string>>& from, std::map<std::string, std::set<std::string>>& to)
+{
+    for (auto& [stream, keys] : from) {
+        to[stream].merge(keys);
     }
+    from.clear();
+}
 
 } // namespace
 
--- a/source/state/impl/Recovery.cpp
+++ b/source/state/impl/Recovery.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-    // Concurrent passes; each has one read in flight.
-    constexpr std::size_t mostJobs = 4;
-    // Largest burst of reads as a share of one second's budget.
-    constexpr double burstShare = 0.1;
+// Concurrent passes; each has one read in flight.
+constexpr std::size_t mostJobs = 4;
+// Largest burst of reads as a share of one second's budget.
+constexpr double burstShare = 0.1;
 
 } // namespace
 
--- a/tests/support/FakeStore.h
+++ b/tests/support/FakeStore.h
@@ -132,8 +132,7 @@
             return state::RowsResult(this->table.scan(*scan));
         }
         const auto found = this->table.objects.find(std::get<state::ReadObject>(request).key);
-        return state::ObjectResult(
-            found == this->table.objects.end() ? std::nullopt : std::optional(found->second));
+        return state::ObjectResult(found == this->table.objects.end() ? std::nullopt : std::optional(found->second));
     }
 
     state::Generator generator;
--- a/tests/support/StateNode.h
+++ b/tests/support/StateNode.h
@@ -87,8 +87,8 @@
             return;
         }
         const state::CallRequest request { program, key, "digest", "orders", "/charge", requestId, false };
-        const auto decision
-            = this->calls.decide(request, this->stores.at(partition).find(program), this->stream.storeAvailable(), this->now);
+        const auto decision = this->calls.decide(
+            request, this->stores.at(partition).find(program), this->stream.storeAvailable(), this->now);
         if (const auto* refused = std::get_if<state::RefuseCall>(&decision)) {
             this->noteRefusal(requestId, refused->error);
         } else if (const auto* replay = std::get_if<state::ReplayCall>(&decision)) {
@@ -361,7 +361,8 @@
         const auto operation = std::visit([](const auto& item) { return item.operation; }, request);
         const auto deliver = [this, operation, forStream, alive = this->alive](const FakeStore::Reply& reply) {
             if (*alive) {
-                this->inbox.push_back([this, operation, forStream, reply] { this->onReply(operation, forStream, reply); });
+                this->inbox.push_back(
+                    [this, operation, forStream, reply] { this->onReply(operation, forStream, reply); });
             }
         };
         this->store.submit(request, deliver, this->now);
