Construct optional nested values in a form that clang accepts

Cause: clang-tidy rejects std::optional::emplace of a nested aggregate with default member initialisers. Change: assignment of a value. Conclusion: no change of behaviour.

--- a/source/state/CommitStream.cpp
+++ b/source/state/CommitStream.cpp
@@ -102,7 +102,7 @@
 
 void CommitStream::startBatch(core::TimePoint now)
 {
-    this->flight.emplace();
+    this->flight = Flight();
     this->flight->resumeAt = now;
     this->flight->batchId = fmt::format("{:016x}{:016x}", this->generator(), this->generator());
     std::size_t size = 0;
--- a/source/state/PartitionOwnership.cpp
+++ b/source/state/PartitionOwnership.cpp
@@ -206,7 +206,7 @@
     this->firstTakeover = false;
     this->takeoverFrom = now + this->settings.takeoverInterval;
     this->lastOperation += 1;
-    this->takeover.emplace();
+    this->takeover = Takeover();
     this->takeover->operation = this->lastOperation;
     tables::Transaction transaction;
     transaction.token = "takeover-" + this->settings.stream + "-" + std::to_string(this->lastOperation);
