Close the gaps that mutations of the document checks showed

Two survivors removed one of the two conditions of the acceptance transaction, which are redundant while both rows are written together; the conditions are now compared directly. The third skipped the lower-casing of hashes; a key test now covers it.

--- a/tests/CustomerKeyTests.cpp
+++ b/tests/CustomerKeyTests.cpp
@@ -50,6 +50,18 @@
         hashKey("000102030405060708090a0b0c0d0e0f", "customer-1.secret-1"));
 }
 
+// Guards against hashes in upper-case digits, which other tools print, never matching.
+TEST(CustomerKeys, MatchHashesInUpperCase)
+{
+    auto hash = hashKey("000102030405060708090a0b0c0d0e0f", "workshop.secret");
+    std::transform(hash.begin(), hash.end(), hash.begin(), [](unsigned char digit) { return std::toupper(digit); });
+    auto text = support::readText(TEST_DATA "/documents/small.ini");
+    text.replace(text.find(std::string(64, '1')), 64, hash);
+    const auto document = parse(text).document;
+    ASSERT_NE(nullptr, document);
+    EXPECT_NE(nullptr, customerOfKey(*document, "workshop.secret"));
+}
+
 // Guards against salts that are not usable being taken for a match.
 TEST(CustomerKeys, DoNotMatchInvalidSaltsOrHashes)
 {
--- a/tests/DocumentAcceptanceTests.cpp
+++ b/tests/DocumentAcceptanceTests.cpp
@@ -115,6 +115,17 @@
     EXPECT_EQ(2, table.writes.size());
 }
 
+// Guards against a transaction without one of its two conditions. Each of them alone holds in the races below, because
+// both rows are always written together; the other one is needed when one of the rows is restored by hand.
+TEST(DocumentAcceptance, WritesUnderBothConditions)
+{
+    AcceptanceTable table;
+    (void)run(request("ms", 0, "a"), table);
+    Acceptance acceptance(request("cent", 1, "b"));
+    const std::vector<tables::Condition> expected { { std::string(currentRowKey), 1 }, { versionRowKey(2), 0 } };
+    EXPECT_EQ(expected, stepToWrite(acceptance, table).conditions);
+}
+
 // Guards against two versions of one request when the transaction of a lost reply takes effect after the read-back.
 TEST(DocumentAcceptance, LateTransactionDoesNotTakeEffectTwice)
 {
--- a/tests/fuzz/DocumentFuzz.cpp
+++ b/tests/fuzz/DocumentFuzz.cpp
@@ -1,4 +1,4 @@
-#include "support/DocumentProperty.h"
+#include "../support/DocumentProperty.h"
 
 #include <cstdint>
 #include <cstdlib>
--- a/tests/support/DocumentProperty.h
+++ b/tests/support/DocumentProperty.h
@@ -3,6 +3,7 @@
 #include "document/Check.h"
 #include "settings/Settings.h"
 
+#include <algorithm>
 #include <string_view>
 
 namespace lagoontiller::support {
