--- a/bench/fakes/FaultPlan.cpp
+++ b/bench/fakes/FaultPlan.cpp
@@ -67,6 +67,13 @@
 
 } // namespace
 
+std::string name(FaultKind kind)
+{
+    const auto found
+        = std::find_if(kinds().begin(), kinds().end(), [kind](const auto& entry) { return entry.second == kind; });
+    return found == kinds().end() ? "" : found->first;
+}
+
 core::Expected<std::optional<Fault>> parseFault(const nlohmann::json& body)
 {
     const auto name = body.value("fault", "");
--- a/bench/fakes/FaultPlan.h
+++ b/bench/fakes/FaultPlan.h
@@ -41,6 +41,9 @@
     [[nodiscard]] bool operator==(const Fault&) const = default;
 };
 
+/// \brief Name of a fault in control requests.
+[[nodiscard]] std::string name(FaultKind kind);
+
 /// \brief Reads `{"fault":…,"count":…,"ms":…,"delay_ms":…,"factor":…,"text":…,"path":…}`; nothing for "none".
 [[nodiscard]] core::Expected<std::optional<Fault>> parseFault(const nlohmann::json& body);
 
--- a/standins/HttpClient.cpp
+++ b/standins/HttpClient.cpp
@@ -78,6 +78,8 @@
     curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     if (request.method != "GET") {
+        // libcurl sends a request again by itself, also a POST, when a reused connection is closed without an answer.
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
         curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.c_str());
     }
--- a/standins/HttpClient.h
+++ b/standins/HttpClient.h
@@ -34,7 +34,9 @@
     std::string body;
 };
 
-/// \brief Blocking HTTP client with one kept-alive connection per server. Not for use by two threads at once.
+/// \brief Blocking HTTP client. Not for use by two threads at once.
+///
+/// A request other than GET has a new connection, so that it is sent at most once.
 class HttpClient {
 public:
     HttpClient();
--- a/standins/HttpServer.cpp
+++ b/standins/HttpServer.cpp
@@ -144,7 +144,7 @@
     if (colon == std::string::npos)
         throw std::runtime_error("address '" + address + "' is not IP:port");
     const int port = std::atoi(address.c_str() + colon + 1);
-    if (port <= 0 || port > 65535)
+    if (port < 0 || port > 65535)
         throw std::runtime_error("address '" + address + "' has no valid port");
     return { address.substr(0, colon), static_cast<std::uint16_t>(port) };
 }
@@ -182,6 +182,9 @@
                       .handle_request_timeout(connectionLimit)
                       .write_http_response_timelimit(connectionLimit)
                       .buffer_size(16 * 1024)
+                      .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
+                          this->address.second = acceptor.local_endpoint().port();
+                      })
                       .request_handler([weak = this->weak_from_this()](const restinio::request_handle_t& request) {
                           return accept(weak, request);
                       });
@@ -215,6 +218,7 @@
     }
 
     [[nodiscard]] bool listening() const noexcept { return this->server != nullptr; }
+    [[nodiscard]] std::uint16_t port() const noexcept { return this->address.second; }
 
 private:
     static restinio::request_handling_status_t accept(
@@ -271,6 +275,11 @@
     return this->implementation->listening();
 }
 
+std::uint16_t HttpServer::port() const noexcept
+{
+    return this->implementation->port();
+}
+
 std::vector<ExchangePointer> HttpServer::unanswered()
 {
     return this->implementation->unanswered();
--- a/standins/HttpServer.h
+++ b/standins/HttpServer.h
@@ -67,6 +67,8 @@
     /// \brief Stops to listen and resets every connection with an unanswered request.
     void close();
     [[nodiscard]] bool listening() const noexcept;
+    /// \brief Port of the server; for port 0 the one that the system chose at the first open().
+    [[nodiscard]] std::uint16_t port() const noexcept;
     /// \brief Requests without a complete answer.
     [[nodiscard]] std::vector<ExchangePointer> unanswered();
 
--- a/standins/PlainStandins.cpp
+++ b/standins/PlainStandins.cpp
@@ -27,7 +27,8 @@
         return this->answerLedger(*exchange);
     if (request.method != "POST")
         return refuse(*exchange, { ResultCode::UnknownPath, "unknown path " + request.path });
-    (void)json::parse(request.body);
+    if (!json::accept(request.body))
+        return refuse(*exchange, { ResultCode::MalformedJson, "the body is not JSON" });
     const auto& entry = this->model.execute(
         request.header("x-request-id"), request.header("idempotency-key"), request.path, request.body);
     const json body { { "ok", true }, { "sequence", entry.sequence }, { "path", entry.path },
--- a/standins/Standin.cpp
+++ b/standins/Standin.cpp
@@ -136,7 +136,7 @@
 
 void Standin::setFault(const fakes::Fault& fault)
 {
-    core::logInfo("fault").with("stand_in", this->ownName).with("kind", static_cast<int>(fault.kind));
+    core::logInfo("fault").with("stand_in", this->ownName).with("fault", fakes::name(fault.kind));
     if (fault.kind == fakes::FaultKind::Down) {
         // The control request itself is answered before the connections are reset.
         this->ownLoop.after(std::chrono::milliseconds(5), [this, fault] { this->goDown(*fault.duration); });
--- a/standins/Standin.h
+++ b/standins/Standin.h
@@ -29,6 +29,7 @@
     [[nodiscard]] nlohmann::json counters();
 
     [[nodiscard]] const std::string& name() const noexcept { return this->ownName; }
+    [[nodiscard]] std::uint16_t port() const noexcept { return this->server.port(); }
     [[nodiscard]] Loop& loop() noexcept { return this->ownLoop; }
 
 protected:
