--- a/source/nodes/impl/TrafficThread.cpp
+++ b/source/nodes/impl/TrafficThread.cpp
@@ -32,6 +32,17 @@
     }
 }
 
+/// Sends without blocking. ZeroMQ sees that the queue has room again only about once per millisecond, so a burst of
+/// 500 messages was refused with an empty queue; reading the events makes it look at once.
+bool trySend(zmq::socket_t& socket, zmq::message_t& frame)
+{
+    if (socket.send(frame, zmq::send_flags::dontwait))
+        return true;
+    if ((socket.get(zmq::sockopt::events) & ZMQ_POLLOUT) == 0)
+        return false;
+    return socket.send(frame, zmq::send_flags::dontwait).has_value();
+}
+
 int milliseconds(core::Duration duration)
 {
     return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -171,7 +182,7 @@
     }
     auto* peer = this->peer(command.address, now);
     const auto size = command.frame.size();
-    if (peer == nullptr || !peer->socket.send(command.frame, zmq::send_flags::dontwait)) {
+    if (peer == nullptr || !trySend(peer->socket, command.frame)) {
         this->countDrop(command.isProbe);
         return;
     }
--- /dev/null
+++ b/tests/EnvelopeDecodingTests.cpp
@@ -0,0 +1,45 @@
+#include "nodes/Random.h"
+#include "support/EnvelopeInput.h"
+
+namespace lagoontiller::nodes::support {
+
+namespace {
+
+void run(const std::string& input)
+{
+    runEnvelopeInput({ reinterpret_cast<const std::uint8_t*>(input.data()), input.size() });
+}
+
+/// Copies parts of two inputs and changes some bytes, as a fuzzer does.
+std::string mutate(Generator& generator, const std::vector<std::string>& corpus)
+{
+    std::string result = corpus[pickIndex(generator, corpus.size())];
+    const auto& other = corpus[pickIndex(generator, corpus.size())];
+    if (!other.empty())
+        result += other.substr(pickIndex(generator, other.size()));
+    const auto changes = pickIndex(generator, 8);
+    for (std::size_t change = 0; change < changes && !result.empty(); ++change)
+        result[pickIndex(generator, result.size())] = static_cast<char>(generator());
+    return result;
+}
+
+} // namespace
+
+// Guards against frames from a faulty peer that crash the process or break an invariant of its state. The invariants
+// are in support/EnvelopeInput.cpp, which aborts the test program.
+TEST(EnvelopeDecoding, CorpusKeepsAllInvariants)
+{
+    for (const auto& input : makeEnvelopeCorpus())
+        run(input);
+}
+
+TEST(EnvelopeDecoding, MutatedInputsKeepAllInvariants)
+{
+    constexpr int RUNS = 20'000;
+    Generator generator(20261204);
+    const auto corpus = makeEnvelopeCorpus();
+    for (int count = 0; count < RUNS; ++count)
+        run(mutate(generator, corpus));
+}
+
+} // namespace lagoontiller::nodes::support
