--- a/source/policy/OrderPlanner.h
+++ b/source/policy/OrderPlanner.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace lagoontiller::policy {
@@ -21,7 +22,11 @@
     OrderKind kind = OrderKind::LoadModel;
     std::string name;
     std::string version;
-    [[nodiscard]] auto operator<=>(const EngineAssignment&) const = default;
+    [[nodiscard]] bool operator==(const EngineAssignment&) const = default;
+    [[nodiscard]] bool operator<(const EngineAssignment& other) const noexcept
+    {
+        return std::tie(this->kind, this->name, this->version) < std::tie(other.kind, other.name, other.version);
+    }
 };
 
 struct EngineView {
--- a/source/policy/PoisonLedger.cpp
+++ b/source/policy/PoisonLedger.cpp
@@ -155,18 +155,16 @@
 
 void PoisonLedger::dropDigest(const std::string& digest)
 {
-    // The argument may refer to a key that is erased below.
-    const std::string dropped = digest;
-    const auto entry = this->digests.find(dropped);
-    this->eviction.erase(evictionKey(dropped, entry->second));
-    for (const LossKey& key : entry->second.losses) {
+    // The argument may refer to a key that is erased below; the extracted node keeps its own.
+    const auto node = this->digests.extract(digest);
+    this->eviction.erase(evictionKey(node.key(), node.mapped()));
+    for (const LossKey& key : node.mapped().losses) {
         const auto loss = this->losses.find(key);
-        loss->second.erase(dropped);
+        loss->second.erase(node.key());
         if (loss->second.empty()) {
             this->losses.erase(loss);
         }
     }
-    this->digests.erase(entry);
 }
 
 PoisonLedger::EvictionKey PoisonLedger::evictionKey(const std::string& digest, const Entry& entry)
--- a/source/policy/RequestQueue.h
+++ b/source/policy/RequestQueue.h
@@ -3,11 +3,11 @@
 #include "core/Error.h"
 #include "policy/Types.h"
 
-#include <compare>
 #include <functional>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -49,7 +49,12 @@
     core::TimePoint deadline {};
     core::TimePoint arrived {};
     CallId id = 0;
-    [[nodiscard]] auto operator<=>(const QueueKey&) const = default;
+    [[nodiscard]] bool operator==(const QueueKey&) const = default;
+    [[nodiscard]] bool operator<(const QueueKey& other) const noexcept
+    {
+        return std::tie(this->level, this->isNew, this->served, this->deadline, this->arrived, this->id)
+            < std::tie(other.level, other.isNew, other.served, other.deadline, other.arrived, other.id);
+    }
 };
 
 struct RequestQueueOptions {
