--- a/source/callers/HttpServer.cpp
+++ b/source/callers/HttpServer.cpp
@@ -82,7 +82,8 @@
     return { restinio::http_status_code_t(static_cast<std::uint16_t>(status)), reason };
 }
 
-ResponseStream::Target targetFor(const restinio::request_handle_t& request, const std::shared_ptr<std::weak_ptr<ResponseStream>>& self)
+ResponseStream::Target targetFor(
+    const restinio::request_handle_t& request, const std::shared_ptr<std::weak_ptr<ResponseStream>>& self)
 {
     ResponseStream::Target target;
     auto chunked = std::make_shared<std::shared_ptr<ChunkedResponse>>();
@@ -93,7 +94,8 @@
         response.set_body(std::move(body)).done();
     };
     target.begin = [request, chunked](int status, const http::Headers& headers) {
-        *chunked = std::make_shared<ChunkedResponse>(request->create_response<restinio::chunked_output_t>(statusLine(status)));
+        *chunked = std::make_shared<ChunkedResponse>(
+            request->create_response<restinio::chunked_output_t>(statusLine(status)));
         for (const auto& header : headers)
             (*chunked)->append_header(header.name, header.value);
         (*chunked)->flush();
@@ -119,8 +121,9 @@
     IncomingRequest incoming;
     incoming.method = request->header().method().c_str();
     incoming.target = request->header().request_target();
-    request->header().for_each_field(
-        [&](const auto& field) { incoming.headers.push_back({ std::string(field.name()), std::string(field.value()) }); });
+    request->header().for_each_field([&](const auto& field) {
+        incoming.headers.push_back({ std::string(field.name()), std::string(field.value()) });
+    });
     incoming.body = request->body();
     incoming.remoteAddress = request->remote_endpoint().address().to_string();
     return incoming;
@@ -200,7 +203,8 @@
             .handle_request_timeout(handlingTimeout)
             .buffer_size(16384)
             .socket_options_setter([](auto& options) { options.set_option(asio::ip::tcp::no_delay(true)); })
-            .acceptor_options_setter([](auto& options) { options.set_option(asio::ip::tcp::acceptor::reuse_address(true)); })
+            .acceptor_options_setter(
+                [](auto& options) { options.set_option(asio::ip::tcp::acceptor::reuse_address(true)); })
             .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t {}
                                           .max_url_size(maximumUrlBytes)
                                           .max_field_name_size(maximumHeaderFieldBytes)
--- a/source/control/Controller.cpp
+++ b/source/control/Controller.cpp
@@ -11,6 +11,7 @@
 
 constexpr auto loadPollInterval = std::chrono::seconds(1);
 constexpr auto handOverInterval = std::chrono::milliseconds(100);
+constexpr auto longestHandOver = std::chrono::seconds(30);
 constexpr auto partitionRetryDelay = std::chrono::milliseconds(200);
 
 } // namespace
@@ -180,8 +181,11 @@
     this->context.durable.onHandedOver(now);
 }
 
-void Controller::on(const DrainRequested&, core::TimePoint)
+void Controller::on(const DrainRequested&, core::TimePoint now)
 {
+    if (this->context.draining)
+        return;
+    this->drainStarted = now;
     this->context.draining = true;
     core::logInfo("drain_started").with("calls", this->context.calls.size());
 }
--- a/source/control/Controller.h
+++ b/source/control/Controller.h
@@ -65,6 +65,7 @@
     core::TimePoint nextHandOver {};
     /// \brief Partitions whose successors have not been told yet.
     std::map<std::string, std::vector<core::PartitionId>> handedOver;
+    core::TimePoint drainStarted {};
     bool drainedReported = false;
 };
 
--- a/source/control/DurableState.h
+++ b/source/control/DurableState.h
@@ -82,6 +82,8 @@
     /// \brief Whether the turn is stored but not yet durable.
     [[nodiscard]] bool isPending(const core::ProgramKey& program) const;
 
+    [[nodiscard]] bool hasPendingRecords() const noexcept { return !this->tickets.empty(); }
+
     /// \brief Queues records of one program. Errors OwnerChanged and StoreUnavailable mean that nothing was recorded.
     core::Expected<void> append(
         const core::ProgramKey& program, std::vector<records::Entry> entries, Purpose purpose, core::TimePoint now);
--- a/source/engines/impl/Generation.cpp
+++ b/source/engines/impl/Generation.cpp
@@ -54,7 +54,8 @@
         if (delta.contains("content") && delta["content"].is_string())
             this->handler(EngineText { delta["content"].get<std::string>() });
         if (delta.contains("tool_calls") && delta["tool_calls"].is_array())
-            this->result.toolCalls.insert(this->result.toolCalls.end(), delta["tool_calls"].begin(), delta["tool_calls"].end());
+            this->result.toolCalls.insert(
+                this->result.toolCalls.end(), delta["tool_calls"].begin(), delta["tool_calls"].end());
     }
     if (choice.contains("finish_reason") && choice["finish_reason"].is_string())
         this->result.finishReason = choice["finish_reason"].get<std::string>();
--- a/source/http/Client.cpp
+++ b/source/http/Client.cpp
@@ -39,7 +39,8 @@
     {
         const RequestId id = ++this->lastId;
         this->enqueue([this, id, request = std::move(request), handler = std::move(handler)]() mutable {
-            auto transfer = std::make_unique<impl::Transfer>(id, std::move(request), std::move(handler), core::monotonicNow());
+            auto transfer
+                = std::make_unique<impl::Transfer>(id, std::move(request), std::move(handler), core::monotonicNow());
             curl_multi_add_handle(this->multi, transfer->handle());
             this->transfers.emplace(id, std::move(transfer));
         });
--- a/source/http/impl/Transfer.cpp
+++ b/source/http/impl/Transfer.cpp
@@ -40,7 +40,8 @@
     curl_easy_setopt(this->easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(this->easy, CURLOPT_PROXY, "");
     curl_easy_setopt(this->easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(this->easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(this->request.connectTimeout.count() / 1000));
+    curl_easy_setopt(
+        this->easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(this->request.connectTimeout.count() / 1000));
     curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, &Transfer::onHeader);
     curl_easy_setopt(this->easy, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(this->easy, CURLOPT_WRITEFUNCTION, &Transfer::onBody);
@@ -71,7 +72,8 @@
     if (line.starts_with("HTTP/"))
         transfer.head = {};
     else if (colon != std::string_view::npos)
-        transfer.head.headers.push_back({ std::string(trim(line.substr(0, colon))), std::string(trim(line.substr(colon + 1))) });
+        transfer.head.headers.push_back(
+            { std::string(trim(line.substr(0, colon))), std::string(trim(line.substr(colon + 1))) });
     else if (trim(line).empty())
         transfer.deliverHead();
     return size * count;
@@ -99,7 +101,8 @@
 
 std::optional<FailureKind> Transfer::expired(core::TimePoint now) const noexcept
 {
-    const auto passed = [](core::Duration limit, core::Duration elapsed) { return limit.count() > 0 && elapsed > limit; };
+    const auto passed
+        = [](core::Duration limit, core::Duration elapsed) { return limit.count() > 0 && elapsed > limit; };
     if (!this->answered && passed(this->request.firstByteTimeout, now - this->started))
         return FailureKind::FirstByteTimeout;
     if (this->answered && passed(this->request.silenceTimeout, now - this->lastActivity))
--- a/source/objects/ObjectClient.cpp
+++ b/source/objects/ObjectClient.cpp
@@ -13,7 +13,8 @@
     if (!answer)
         return core::failure(core::ResultCode::StoreUnavailable, answer.error().message);
     if (answer->status >= 300 && answer->status != 404)
-        return core::failure(core::ResultCode::StoreUnavailable, "object store answered " + std::to_string(answer->status));
+        return core::failure(
+            core::ResultCode::StoreUnavailable, "object store answered " + std::to_string(answer->status));
     return {};
 }
 
--- a/source/tables/TableClient.cpp
+++ b/source/tables/TableClient.cpp
@@ -117,8 +117,8 @@
 void TableClient::transact(const Transaction& transaction, TransactionHandler handler) const
 {
     auto request = this->request("POST", "/v1/transactions", transactionBody(transaction));
-    this->client.fetch(std::move(request),
-        [handler = std::move(handler)](const auto& answer) { handler(transactionReply(answer)); });
+    this->client.fetch(
+        std::move(request), [handler = std::move(handler)](const auto& answer) { handler(transactionReply(answer)); });
 }
 
 void TableClient::read(const std::string& key, ReadHandler handler) const
--- a/source/vmlist/VmList.cpp
+++ b/source/vmlist/VmList.cpp
@@ -53,7 +53,8 @@
         if (!answer)
             handler(core::failure(core::ResultCode::VmListUnavailable, answer.error().message));
         else if (answer->status != 200)
-            handler(core::failure(core::ResultCode::VmListUnavailable, "VM list answered " + std::to_string(answer->status)));
+            handler(core::failure(
+                core::ResultCode::VmListUnavailable, "VM list answered " + std::to_string(answer->status)));
         else
             handler(answer->body);
     });
