--- a/source/policy/Admission.cpp
+++ b/source/policy/Admission.cpp
@@ -101,6 +101,12 @@
     this->totalRunning += 1;
 }
 
+void Admission::requeued(const std::string& customer)
+{
+    this->customers[customer].running -= 1;
+    this->totalRunning -= 1;
+}
+
 void Admission::withdrawn(const std::string& customer, std::uint64_t program)
 {
     this->releaseHeld(customer, program);
--- a/source/policy/Admission.h
+++ b/source/policy/Admission.h
@@ -76,6 +76,8 @@
     /// \brief Whether a slot is free within the customer's weighted max-min part of the slots.
     [[nodiscard]] bool mayDispatch(const std::string& customer) const;
     void dispatched(const std::string& customer);
+    /// \brief The attempt of a dispatched call failed and the call waits for a retry.
+    void requeued(const std::string& customer);
     /// \brief A waiting call was displaced, cancelled or expired.
     void withdrawn(const std::string& customer, std::uint64_t program);
     /// \brief A dispatched call ended.
--- /dev/null
+++ b/source/policy/Scheduler.cpp
@@ -0,0 +1,331 @@
+#include "policy/Scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lagoontiller::policy {
+
+Scheduler::Scheduler(SchedulerOptions options, std::uint64_t seed)
+    : options(std::move(options))
+    , random(seed)
+    , endpointRouter(this->options.router)
+    , tracker(this->options.health)
+    , poison(this->options.poison)
+{
+}
+
+EndpointId Scheduler::upsert(const EndpointSpec& spec, core::TimePoint now)
+{
+    const EndpointId endpoint = this->endpointRouter.upsert(spec);
+    if (this->attemptsAt.size() <= endpoint) {
+        this->attemptsAt.resize(endpoint + 1);
+        this->memoryPressure.resize(endpoint + 1);
+    }
+    this->service(spec.service);
+    const auto changes
+        = this->tracker.upsert(endpoint, this->endpointRouter.endpoints().row(endpoint).service, spec.state, now);
+    if (spec.state != EndpointState::Live) {
+        this->follow(endpoint, false);
+    }
+    this->apply(changes);
+    return endpoint;
+}
+
+void Scheduler::setCustomer(const std::string& customer, CustomerLimits limits)
+{
+    this->customers[customer] = limits;
+    for (auto& [name, service] : this->services) {
+        service.admission.setCustomer(customer, limits);
+    }
+}
+
+void Scheduler::removeCustomer(const std::string& customer)
+{
+    this->customers.erase(customer);
+    for (auto& [name, service] : this->services) {
+        service.admission.removeCustomer(customer);
+    }
+}
+
+void Scheduler::setDeciders(double deciders)
+{
+    this->options.router.deciders = std::max(1.0, deciders);
+    this->endpointRouter.setDeciders(this->options.router.deciders);
+}
+
+tl::expected<std::vector<DroppedCall>, Refusal> Scheduler::arrive(const ScheduledCall& call, core::TimePoint now)
+{
+    Service& service = this->service(call.route.service);
+    if (!call.digest.empty() && this->poison.verdict(call.digest, now) == PoisonVerdict::Isolated) {
+        return tl::unexpected<Refusal>(
+            Refusal { core::Error(core::ResultCode::RequestIsolated, "the request crashes its endpoints"), {} });
+    }
+    this->updateSlots(service);
+    const auto admitted
+        = service.admission.admit({ call.customer, call.program, call.urgency.priority, call.started }, now);
+    if (!admitted) {
+        return tl::unexpected(admitted.error());
+    }
+    std::vector<DroppedCall> dropped;
+    if (admitted->displaced) {
+        for (auto& [model, queue] : service.queues) {
+            const auto displaced = queue.displace(*admitted->displaced);
+            if (displaced) {
+                service.admission.refused(displaced->program, displaced->arrived);
+                this->drop(displaced->id, core::Error(core::ResultCode::QueueFull, "a call with a share came first"),
+                    this->options.admission.shortestRetry, dropped);
+                break;
+            }
+        }
+    }
+    service.retries.addCall();
+    Call& added
+        = this->calls
+              .insert_or_assign(call.id, Call { call, admitted->arrived, {}, {}, {}, core::RunState::NotRun, false })
+              .first->second;
+    this->enqueue(added, service, dropped);
+    return dropped;
+}
+
+Step Scheduler::next(core::TimePoint now)
+{
+    Step step;
+    this->wakeRetries(now, step);
+    for (auto& [name, service] : this->services) {
+        this->updateSlots(service);
+        this->expire(service, now, step);
+        for (auto& [model, queue] : service.queues) {
+            if (queue.size() > 0) {
+                this->drain(model, service, now, step);
+            }
+        }
+    }
+    this->hedge(now, step);
+    return step;
+}
+
+std::optional<core::TimePoint> Scheduler::nextWake() const
+{
+    return this->retries.empty() ? std::nullopt : std::optional(this->retries.begin()->first);
+}
+
+std::size_t Scheduler::waiting() const
+{
+    std::size_t total = this->retries.size();
+    for (const auto& [name, service] : this->services) {
+        for (const auto& [model, queue] : service.queues) {
+            total += queue.size();
+        }
+    }
+    return total;
+}
+
+void Scheduler::raise(std::uint64_t program, const Urgency& parent)
+{
+    for (auto& [name, service] : this->services) {
+        for (auto& [model, queue] : service.queues) {
+            queue.raise(program, parent);
+        }
+    }
+}
+
+Scheduler::Service& Scheduler::service(const std::string& name)
+{
+    const auto found = this->services.find(name);
+    if (found != this->services.end()) {
+        return found->second;
+    }
+    Service& added = this->services
+                         .emplace(name,
+                             Service { Admission(this->options.admission), RetryBudget(this->options.retryRatio), {},
+                                 {}, 0, std::nullopt })
+                         .first->second;
+    for (const auto& [customer, limits] : this->customers) {
+        added.admission.setCustomer(customer, limits);
+    }
+    return added;
+}
+
+void Scheduler::apply(const std::vector<HealthChange>& changes)
+{
+    for (const HealthChange& change : changes) {
+        this->endpointRouter.setTraffic(change.endpoint, change.traffic);
+        const bool live = this->endpointRouter.endpoints().row(change.endpoint).spec.state == EndpointState::Live;
+        this->follow(change.endpoint, live && change.traffic.share > 0);
+    }
+}
+
+void Scheduler::follow(EndpointId endpoint, bool serving)
+{
+    Service& service = this->service(this->endpointRouter.endpoints().row(endpoint).spec.service);
+    const double others = this->endpointRouter.load(endpoint).others();
+    if (serving && service.serving.insert(endpoint).second) {
+        service.others += others;
+    } else if (!serving && service.serving.erase(endpoint) > 0) {
+        service.others -= others;
+    }
+}
+
+void Scheduler::updateSlots(Service& service) const
+{
+    const double slots = static_cast<double>(service.serving.size()) * this->options.router.slots;
+    const double share = slots / this->options.router.deciders;
+    const double unused = slots * this->options.overcommit - service.others;
+    service.admission.setSlots(static_cast<std::uint32_t>(std::ceil(std::max({ 1.0, share, unused }))));
+}
+
+void Scheduler::enqueue(const Call& call, Service& service, std::vector<DroppedCall>& dropped)
+{
+    const ScheduledCall& request = call.request;
+    const auto program = this->programs.find(request.program);
+    const std::uint64_t served = program == this->programs.end() ? 0 : program->second.served;
+    RequestQueue& queue = service.queues.try_emplace(request.route.model, this->options.queue).first->second;
+    const auto overflow = queue.push({ request.id, request.program, request.customer, request.urgency, call.arrived,
+        served, request.started || !call.tried.empty() });
+    if (overflow) {
+        service.admission.refused(overflow->program, overflow->arrived);
+        this->drop(overflow->id, core::Error(core::ResultCode::QueueFull, "the queue of the service is full"),
+            this->options.admission.shortestRetry, dropped);
+    }
+}
+
+void Scheduler::wakeRetries(core::TimePoint now, Step& step)
+{
+    while (!this->retries.empty() && this->retries.begin()->first <= now) {
+        const CallId id = this->retries.begin()->second;
+        this->retries.erase(this->retries.begin());
+        const Call& call = this->calls.at(id);
+        this->enqueue(call, this->service(call.request.route.service), step.dropped);
+    }
+}
+
+void Scheduler::expire(Service& service, core::TimePoint now, Step& step)
+{
+    for (auto& [model, queue] : service.queues) {
+        for (const QueuedRequest& expired : queue.expire(now)) {
+            this->drop(expired.id, core::Error(core::ResultCode::DeadlineExceeded, "no endpoint was free in time"), {},
+                step.dropped);
+        }
+    }
+}
+
+void Scheduler::drain(const std::string& model, Service& service, core::TimePoint now, Step& step)
+{
+    RequestQueue& queue = service.queues.at(model);
+    std::set<CallId> blocked;
+    std::vector<QueuedRequest> putBack;
+    const auto mayStart = [&](const QueuedRequest& request) { return service.admission.mayDispatch(request.customer); };
+    constexpr std::size_t maximumBlocked = 16;
+    while (putBack.size() < maximumBlocked) {
+        const auto request = queue.pop(mayStart);
+        if (!request) {
+            break;
+        }
+        Call& call = this->calls.at(request->id);
+        const auto decision = this->place(call, now);
+        if (decision) {
+            service.admission.dispatched(request->customer);
+            step.assignments.push_back(this->assign(call, *decision, now));
+        } else if (decision.error().code == core::ResultCode::NoEndpoint) {
+            putBack.push_back(*request);
+        } else {
+            this->drop(request->id, decision.error(), {}, step.dropped);
+        }
+    }
+    for (QueuedRequest& request : putBack) {
+        // The queue had room for it before; nothing is displaced.
+        static_cast<void>(queue.push(std::move(request)));
+    }
+}
+
+core::Expected<RouteDecision> Scheduler::place(const Call& call, core::TimePoint now)
+{
+    const std::string& digest = call.request.digest;
+    const PoisonVerdict verdict = digest.empty() ? PoisonVerdict::Clear : this->poison.verdict(digest, now);
+    if (verdict == PoisonVerdict::Isolated) {
+        return core::failure(core::ResultCode::RequestIsolated, "the request crashes its endpoints");
+    }
+    RouteRequest route = call.request.route;
+    route.excluded.insert(route.excluded.end(), call.tried.begin(), call.tried.end());
+    auto decision = this->endpointRouter.choose(route, now, this->random);
+    if (!decision && decision.error().code == core::ResultCode::NoEndpoint && !call.tried.empty()) {
+        // Where no other endpoint is left, one that was tried is better than none.
+        route.excluded = call.request.route.excluded;
+        decision = this->endpointRouter.choose(route, now, this->random);
+    }
+    constexpr int maximumSuspectChoices = 4;
+    for (int i = 0; verdict == PoisonVerdict::Suspect && decision && i < maximumSuspectChoices; ++i) {
+        const std::string& name = this->endpointRouter.endpoints().row(decision->endpoint).spec.name;
+        if (this->poison.mayRun(digest, name, now)) {
+            return decision;
+        }
+        route.excluded.push_back(decision->endpoint);
+        decision = this->endpointRouter.choose(route, now, this->random);
+    }
+    if (verdict == PoisonVerdict::Suspect && decision
+        && !this->poison.mayRun(digest, this->endpointRouter.endpoints().row(decision->endpoint).spec.name, now)) {
+        return core::failure(core::ResultCode::NoEndpoint, "other suspect requests run on the endpoints");
+    }
+    return decision;
+}
+
+Assignment Scheduler::assign(Call& call, const RouteDecision& decision, core::TimePoint now)
+{
+    const ScheduledCall& request = call.request;
+    const RouteRequest& route = request.route;
+    const AttemptId id = ++this->lastAttempt;
+    const bool isModel = !route.model.empty();
+    Assignment assignment { id, request.id, decision.endpoint, decision.cachedTokens,
+        this->timeouts.timeout(route.service, isModel ? TimeoutKind::FirstByte : TimeoutKind::ServiceCall),
+        this->timeouts.timeout(route.service, TimeoutKind::InterToken), this->kvSource(call, decision),
+        !call.attempts.empty() };
+    if (assignment.kvSource) {
+        assignment.cachedTokens = this->endpointRouter.cachedTokens(route.prefix, *assignment.kvSource);
+    }
+    Attempt attempt { request.id, decision.endpoint, now, {}, decision.queueMs, false };
+    if (!request.digest.empty() && this->poison.verdict(request.digest, now) == PoisonVerdict::Suspect) {
+        attempt.suspect = true;
+        this->poison.suspectStarted(request.digest, this->endpointRouter.endpoints().row(decision.endpoint).spec.name);
+    }
+    this->attempts.emplace(id, attempt);
+    this->attemptsAt[decision.endpoint].insert(id);
+    call.attempts.insert(id);
+    call.tried.push_back(decision.endpoint);
+    this->endpointRouter.sent(id,
+        { decision.endpoint, route.prefix, route.promptTokens, route.expectedTokens, assignment.cachedTokens }, now);
+    this->apply(this->tracker.sent(decision.endpoint, now));
+    return assignment;
+}
+
+std::optional<EndpointId> Scheduler::kvSource(const Call& call, const RouteDecision& decision) const
+{
+    const auto program = this->programs.find(call.request.program);
+    if (!this->options.kvMove || program == this->programs.end() || !program->second.endpoint
+        || *program->second.endpoint == decision.endpoint) {
+        return std::nullopt;
+    }
+    const EndpointId source = *program->second.endpoint;
+    const RouteRequest& route = call.request.route;
+    const auto& endpoints = this->endpointRouter.endpoints();
+    const double tokens = this->endpointRouter.cachedTokens(route.prefix, source) - decision.cachedTokens;
+    if (tokens <= 0 || !endpoints.serves(source, route.service, route.model)) {
+        return std::nullopt;
+    }
+    const auto count = static_cast<std::uint32_t>(tokens);
+    const bool crossRegion = endpoints.row(source).region != endpoints.row(decision.endpoint).region;
+    const KvMove move { count, count * this->options.kvBytesPerToken, crossRegion, route.latencyWeight,
+        route.wastedCacheWeight };
+    return shouldMoveKv(move, this->options.pause) ? std::optional(source) : std::nullopt;
+}
+
+void Scheduler::drop(CallId id, core::Error error, core::Duration retryAfter, std::vector<DroppedCall>& dropped)
+{
+    const auto entry = this->calls.find(id);
+    const ScheduledCall& request = entry->second.request;
+    this->service(request.route.service).admission.withdrawn(request.customer, request.program);
+    error.ran = entry->second.ran;
+    this->calls.erase(entry);
+    dropped.push_back({ id, std::move(error), retryAfter });
+}
+
+} // namespace lagoontiller::policy
