Adopt policy::Scheduler in the controller

Cause: the server used the router alone: no admission, no queue, no ejection, retries without a budget, and a request that crashes its endpoints could crash every one of them. Change: Dispatch translates between the controller and policy::Scheduler; turns and service calls wait for an assignment; the intent of a call that may not be repeated commits once it has an endpoint; learned time-outs bound repeatable work only; poison notices are spread to all nodes; a tool pause may give up a cache.

--- a/source/control/Call.h
+++ b/source/control/Call.h
@@ -8,6 +8,7 @@
 #include "state/BudgetLedger.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -22,13 +23,11 @@
     Forwarded,
     /// Waits for the turn before it.
     AwaitsTurn,
-    /// Waits for records that must be durable before it starts.
-    AwaitsRecords,
-    /// Waits for a free place on an endpoint.
+    /// Waits for a place on an endpoint.
     Queued,
+    /// Has an endpoint; waits for records that must be durable before the call is sent.
+    AwaitsRecords,
     Running,
-    /// Waits before another attempt.
-    AwaitsRetry,
     /// Gets the result of an equal call that is running.
     Joined,
     /// Answered by the endpoint; waits for the result to be durable.
@@ -68,9 +67,10 @@
     state::ReservationId reservation = 0;
     AttemptId attempt = 0;
     int attempts = 0;
-    policy::EndpointId endpointId = 0;
     std::string endpoint;
-    std::vector<policy::EndpointId> excluded;
+    /// \brief Limits of the current attempt.
+    core::Duration timeout {};
+    core::Duration silence {};
     std::string text;
     bool answerOpen = false;
     Destination destination;
@@ -83,6 +83,8 @@
     nlohmann::json outgoingBody;
     nlohmann::json addedMessages;
     std::string callKey;
+    /// \brief Intent of a call that may not be repeated; committed once it has an endpoint.
+    std::optional<records::Entry> intent;
     /// \brief The partition was lost while the call was at an endpoint.
     bool orphaned = false;
     bool repeatable = true;
--- a/source/control/Context.h
+++ b/source/control/Context.h
@@ -28,8 +28,10 @@
     core::Duration ownerWait = std::chrono::seconds(10);
     /// \brief Longest wait of a finished answer for its commit; then it is reported as pending.
     core::Duration commitWait = std::chrono::seconds(3);
+    /// \brief Longest wait of a call that may not be repeated for its intent; then it is refused "not run".
+    core::Duration intentWait = std::chrono::seconds(10);
     /// \brief Longest wait of a call for a free or healthy endpoint.
-    core::Duration endpointWait = std::chrono::seconds(10);
+    core::Duration endpointWait = std::chrono::seconds(30);
 };
 
 /// \brief State of the control thread, shared by the parts of the controller.
@@ -68,6 +70,12 @@
 /// \brief Delay that a refusal suggests for conditions that usually pass within a second.
 inline constexpr std::uint64_t shortRetryMs = 500;
 
+/// \brief A delay as refusals carry it, rounded up to whole milliseconds.
+[[nodiscard]] inline std::uint64_t retryMs(core::Duration delay)
+{
+    return static_cast<std::uint64_t>((std::max<std::int64_t>(0, delay.count()) + 999) / 1000);
+}
+
 /// \brief Opens the budget account of the call's program and lists the records that a new program needs.
 ///
 /// Errors: UnknownProgram for a sub-agent whose root is not known, ProgramEnded, InvalidField for a class that the
--- a/source/control/Controller.cpp
+++ b/source/control/Controller.cpp
@@ -30,9 +30,30 @@
     this->context.unixMs = unixMs;
     this->context.ledger.onLoop(now);
     std::visit([&](const auto& each) { this->on(each, now); }, event);
+    this->dispatchWaiting(now);
     return std::exchange(this->context.effects, {});
 }
 
+void Controller::dispatchWaiting(core::TimePoint now)
+{
+    for (const auto& assigned : this->context.dispatch.next(now)) {
+        auto* call = this->context.calls.find(assigned.call);
+        if (call == nullptr)
+            this->context.dispatch.cancel(assigned.call, now);
+        else if (call->model() != nullptr)
+            this->turns.onAssigned(*call, assigned, now);
+        else
+            this->services.onAssigned(*call, assigned, now);
+    }
+    for (const auto& dropped : this->context.dispatch.takeDropped()) {
+        auto* call = this->context.calls.find(dropped.call);
+        if (call != nullptr && call->model() != nullptr)
+            this->turns.onDropped(*call, dropped, now);
+        else if (call != nullptr)
+            this->services.onDropped(*call, dropped, now);
+    }
+}
+
 void Controller::on(const CallArrived& event, core::TimePoint now)
 {
     if (auto* call = this->entry.admit(event, now))
@@ -151,19 +172,19 @@
     this->context.dispatch.setDeciders(event.members.size());
 }
 
-void Controller::on(const DocumentChanged& event, core::TimePoint)
+void Controller::on(const DocumentChanged& event, core::TimePoint now)
 {
     if (event.version <= this->context.documentVersion)
         return;
     this->context.document = event.document;
     this->context.documentVersion = event.version;
-    this->context.dispatch.setDocument(event.document);
+    this->context.dispatch.setDocument(event.document, now);
     core::logInfo("document_in_force").with("version", event.version);
 }
 
-void Controller::on(const VmListChanged& event, core::TimePoint)
+void Controller::on(const VmListChanged& event, core::TimePoint now)
 {
-    this->context.dispatch.setVmList(event.list);
+    this->context.dispatch.setVmList(event.list, now);
 }
 
 void Controller::on(const LoadReported& event, core::TimePoint now)
@@ -171,6 +192,11 @@
     this->context.dispatch.onLoad(event.endpoint, event.load, now, this->context.unixMs);
 }
 
+void Controller::on(const PoisonNoticed& event, core::TimePoint now)
+{
+    this->context.dispatch.merge(event.notice, now);
+}
+
 void Controller::on(const OutcomeReported& event, core::TimePoint now)
 {
     this->services.onOutcomeReported(event.report, now);
@@ -244,6 +270,7 @@
     if (now < this->nextLoadPoll)
         return;
     this->nextLoadPoll = now + loadPollInterval;
+    this->context.dispatch.tick(now);
     for (auto& endpoint : this->context.dispatch.takeRecentlyUsed())
         this->context.effects.push_back(PollLoad { std::move(endpoint) });
     this->publishMetrics();
@@ -321,9 +348,9 @@
         if (call == nullptr)
             continue;
         if (call->model() != nullptr)
-            this->turns.onPartitionDropped(*call);
+            this->turns.onPartitionDropped(*call, now);
         else if (call->service() != nullptr)
-            this->services.onPartitionDropped(*call);
+            this->services.onPartitionDropped(*call, now);
         else
             this->context.refuse(*call, changed, shortRetryMs);
     }
--- a/source/control/Controller.h
+++ b/source/control/Controller.h
@@ -39,12 +39,15 @@
     void on(const DocumentChanged& event, core::TimePoint now);
     void on(const VmListChanged& event, core::TimePoint now);
     void on(const LoadReported& event, core::TimePoint now);
+    void on(const PoisonNoticed& event, core::TimePoint now);
     void on(const OutcomeReported& event, core::TimePoint now);
     void on(const PartitionsHandedOver& event, core::TimePoint now);
     void on(const DrainRequested& event, core::TimePoint now);
     void on(const Tick& event, core::TimePoint now);
 
     void place(Call& call, core::TimePoint now);
+    /// \brief Sends waiting calls for which there is an endpoint now, and refuses those that were given up.
+    void dispatchWaiting(core::TimePoint now);
     void startAtOwner(Call& call, core::TimePoint now);
     void handle(const DurableEvents& events, core::TimePoint now);
     void on(const RecordsSettled& settled, core::TimePoint now);
--- a/source/control/Dispatch.cpp
+++ b/source/control/Dispatch.cpp
@@ -10,7 +10,7 @@
 // Bounds the effect of a wrong clock on an engine.
 constexpr std::int64_t oldestReportMs = 30'000;
 
-policy::PrefixKey prefixKey(const std::string& cacheKey)
+std::uint64_t keyHash(const std::string& cacheKey)
 {
     return cacheKey.empty() ? 0 : core::hash64(cacheKey);
 }
@@ -25,71 +25,85 @@
 Dispatch::Dispatch(std::string zone, std::string region, std::uint64_t seed)
     : zone(std::move(zone))
     , region(std::move(region))
-    , random(seed)
+    , scheduler({}, seed)
 {
 }
 
-void Dispatch::setDocument(const std::shared_ptr<const document::Document>& newDocument)
+void Dispatch::setDocument(const std::shared_ptr<const document::Document>& newDocument, core::TimePoint now)
 {
-    this->document = newDocument;
-    this->refresh();
+    const auto previous = std::exchange(this->document, newDocument);
+    this->setCustomers(previous.get());
+    this->refresh(now);
 }
 
-void Dispatch::setVmList(const vmlist::VmList& list)
+void Dispatch::setCustomers(const document::Document* previous)
+{
+    if (previous != nullptr) {
+        for (const auto& customer : previous->customers()) {
+            if (this->document->customer(customer.name) == nullptr)
+                this->scheduler.removeCustomer(customer.name);
+        }
+    }
+    for (const auto& customer : this->document->customers()) {
+        this->scheduler.setCustomer(
+            customer.name, { customer.share, static_cast<std::uint32_t>(customer.maxConcurrent) });
+    }
+}
+
+void Dispatch::setVmList(const vmlist::VmList& list, core::TimePoint now)
 {
     this->vms = list;
-    this->refresh();
+    this->refresh(now);
 }
 
 void Dispatch::setDeciders(std::size_t nodes)
 {
-    this->router.setDeciders(static_cast<double>(std::max<std::size_t>(1, nodes)));
+    this->scheduler.setDeciders(static_cast<double>(std::max<std::size_t>(1, nodes)));
 }
 
-void Dispatch::refresh()
+void Dispatch::refresh(core::TimePoint now)
 {
     if (!this->document)
         return;
-    const auto previous = std::move(this->listed);
-    this->listed.clear();
+    const auto previous = std::exchange(this->listed, {});
     if (this->vms) {
         for (const auto& vm : this->vms->vms) {
+            const bool leaving = vm.state == vmlist::VmState::Leaving;
             if (vm.isEndpoint) {
-                const bool leaving = vm.state == vmlist::VmState::Leaving;
                 this->upsert(vm.address, vm.service, vm.zone, vm.region,
-                    leaving ? policy::EndpointState::Leaving : policy::EndpointState::Live);
+                    leaving ? policy::EndpointState::Leaving : policy::EndpointState::Live, now);
             }
         }
     } else {
         for (const auto& vm : this->document->vms()) {
             if (vm.role == document::VmRole::Endpoint)
-                this->upsert(vm.address, vm.service, vm.zone, vm.region, policy::EndpointState::Live);
+                this->upsert(vm.address, vm.service, vm.zone, vm.region, policy::EndpointState::Live, now);
         }
     }
     for (const auto& [address, id] : previous) {
-        if (!this->listed.contains(address)) {
-            auto spec = this->router.endpoints().row(id).spec;
-            spec.state = policy::EndpointState::Gone;
-            this->router.upsert(spec);
-        }
+        if (this->listed.contains(address))
+            continue;
+        auto spec = this->scheduler.router().endpoints().row(id).spec;
+        spec.state = policy::EndpointState::Gone;
+        this->scheduler.upsert(spec, now);
     }
 }
 
 void Dispatch::upsert(const std::string& address, const std::string& service, const std::string& endpointZone,
-    const std::string& endpointRegion, policy::EndpointState state)
+    const std::string& endpointRegion, policy::EndpointState state, core::TimePoint now)
 {
     const auto* described = this->document->service(service);
     if (described == nullptr)
         return;
-    policy::EndpointSpec spec { address, service, described->models, endpointZone, endpointRegion, state };
-    const auto id = this->router.upsert(spec);
+    const policy::EndpointSpec spec { address, service, described->models, endpointZone, endpointRegion, state };
+    const auto id = this->scheduler.upsert(spec, now);
     if (this->addresses.size() <= id)
         this->addresses.resize(id + 1);
     this->addresses[id] = address;
     this->listed[address] = id;
 }
 
-core::Expected<Destination> Dispatch::choose(const DispatchRequest& request, core::TimePoint now)
+policy::RouteRequest Dispatch::routeFor(const DispatchRequest& request) const
 {
     const auto* service = this->document->service(request.service);
     policy::RouteRequest route;
@@ -97,8 +111,8 @@
     route.model = request.model;
     route.zone = this->zone;
     route.region = this->region;
-    route.prefix = prefixKey(request.cacheKey);
-    route.sharedPrefix = prefixKey(request.parentCacheKey);
+    route.prefix = keyHash(request.cacheKey);
+    route.sharedPrefix = keyHash(request.parentCacheKey);
     route.promptTokens = narrow(request.promptTokens);
     route.expectedTokens = narrow(request.expectedTokens);
     route.requestBytes = request.requestBytes;
@@ -106,42 +120,95 @@
     route.latencyWeight = service == nullptr ? 1 : service->latencyWeight;
     route.wastedCacheWeight = service == nullptr ? 1 : service->wastedCacheWeight;
     route.repeatable = request.repeatable;
-    route.excluded = request.excluded;
-    const auto decision = this->router.choose(route, now, this->random);
-    if (!decision)
-        return tl::unexpected(decision.error());
-    return Destination { decision->endpoint, this->addresses[decision->endpoint], decision->cachedTokens };
+    return route;
+}
+
+tl::expected<void, policy::Refusal> Dispatch::arrive(
+    const Call& call, const DispatchRequest& request, core::TimePoint now)
+{
+    policy::ScheduledCall scheduled;
+    scheduled.id = call.id;
+    scheduled.customer = call.program.customer;
+    scheduled.program = keyHash(call.program.customer + "/" + call.program.program);
+    scheduled.urgency = { request.priority, request.deadline };
+    scheduled.started = request.started;
+    scheduled.route = this->routeFor(request);
+    scheduled.digest = request.digest;
+    auto admitted = this->scheduler.arrive(scheduled, now);
+    if (!admitted)
+        return tl::unexpected(admitted.error());
+    this->dropped.insert(this->dropped.end(), admitted->begin(), admitted->end());
+    return {};
+}
+
+std::vector<Assigned> Dispatch::next(core::TimePoint now)
+{
+    auto step = this->scheduler.next(now);
+    this->dropped.insert(this->dropped.end(), step.dropped.begin(), step.dropped.end());
+    std::vector<Assigned> result;
+    for (const auto& assignment : step.assignments) {
+        const auto& address = this->addresses[assignment.endpoint];
+        result.push_back({ assignment.call, assignment.attempt,
+            { assignment.endpoint, address, assignment.cachedTokens }, assignment.timeout, assignment.silence });
+        if (!this->scheduler.router().endpoints().row(assignment.endpoint).spec.models.empty())
+            this->recentlyUsed.insert(address);
+    }
+    return result;
 }
 
-void Dispatch::sent(
-    AttemptId attempt, const Destination& destination, const DispatchRequest& request, core::TimePoint now)
+std::vector<policy::DroppedCall> Dispatch::takeDropped()
 {
-    const policy::SentCall sent { destination.endpoint, prefixKey(request.cacheKey), narrow(request.promptTokens),
-        narrow(request.expectedTokens), destination.cachedTokens };
-    this->router.sent(attempt, sent, now);
-    if (!request.model.empty())
-        this->recentlyUsed.insert(destination.address);
+    return std::exchange(this->dropped, {});
+}
+
+void Dispatch::cancel(CallId call, core::TimePoint now)
+{
+    static_cast<void>(this->scheduler.cancel(call, now));
 }
 
 void Dispatch::firstToken(AttemptId attempt, core::TimePoint now)
 {
-    this->router.firstToken(attempt, now);
+    // Hedging is off: no other attempt of the call is under way.
+    static_cast<void>(this->scheduler.firstToken(attempt, now));
 }
 
 void Dispatch::finished(AttemptId attempt, const engines::EngineUsage& usage, core::TimePoint now)
 {
-    this->router.finished(
-        attempt, { narrow(usage.promptTokens), narrow(usage.completionTokens), narrow(usage.cachedTokens) }, now);
+    const policy::Usage counted { narrow(usage.promptTokens), narrow(usage.completionTokens),
+        narrow(std::min(usage.cachedTokens, usage.promptTokens)) };
+    static_cast<void>(this->scheduler.finished(attempt, counted, now));
+}
+
+policy::AttemptOutcome Dispatch::failed(
+    AttemptId attempt, policy::FailureKind kind, core::RunState ran, core::TimePoint now)
+{
+    return this->scheduler.failed(attempt, kind, ran, now);
+}
+
+void Dispatch::merge(const policy::PoisonNotice& notice, core::TimePoint now)
+{
+    this->scheduler.merge(notice, now);
+}
+
+std::optional<std::string> Dispatch::paused(const std::string& cacheKey, const std::string& tool, core::TimePoint now)
+{
+    policy::ProgramPause pause;
+    pause.program = keyHash(cacheKey);
+    pause.tool = tool;
+    const auto order = this->scheduler.paused(pause, now);
+    if (!order || order->action == policy::CacheAction::Keep)
+        return std::nullopt;
+    return this->addresses[order->endpoint];
 }
 
-void Dispatch::failed(AttemptId attempt, policy::FailureKind kind, core::TimePoint now)
+void Dispatch::resumed(const std::string& cacheKey, core::TimePoint now)
 {
-    this->router.failed(attempt, kind, now);
+    this->scheduler.resumed(keyHash(cacheKey), now);
 }
 
 void Dispatch::released(const std::string& cacheKey)
 {
-    this->router.released(prefixKey(cacheKey));
+    this->scheduler.programEnded(keyHash(cacheKey));
 }
 
 void Dispatch::onLoad(
@@ -157,7 +224,7 @@
     report.kvCapacity = load.kvCapacity;
     const auto age = load.sampledMs == 0 ? 0 : std::clamp<std::int64_t>(unixMs - load.sampledMs, 0, oldestReportMs);
     report.sampledAt = now - std::chrono::milliseconds(age);
-    this->router.report(found->second, report);
+    this->scheduler.report(found->second, report);
 }
 
 std::vector<std::string> Dispatch::takeRecentlyUsed()
--- a/source/control/Effects.h
+++ b/source/control/Effects.h
@@ -4,6 +4,7 @@
 #include "core/Error.h"
 #include "core/Identifiers.h"
 #include "engines/EngineClient.h"
+#include "policy/PoisonLedger.h"
 #include "proto/nodes.pb.h"
 #include "services/ServiceClient.h"
 #include "state/StoreEffects.h"
@@ -111,6 +112,11 @@
     nodes::wire::Envelope envelope;
 };
 
+/// \brief Tells all other nodes about a lost endpoint and what ran on it.
+struct SpreadPoisonNotice {
+    policy::PoisonNotice notice;
+};
+
 /// \brief The node has handed over all partitions and finished all calls.
 struct Drained { };
 
@@ -128,7 +134,8 @@
 };
 
 using Effect = std::variant<AnswerWhole, OpenAnswer, JoinAnswer, FinishAnswer, CloseAnswer, RefuseAnswer, Generate,
-    CancelGeneration, CallService, ReleaseMemory, PollLoad, ForwardCall, SendToNode, StoreOperation, Drained>;
+    CancelGeneration, CallService, ReleaseMemory, PollLoad, ForwardCall, SendToNode, SpreadPoisonNotice, StoreOperation,
+    Drained>;
 using Effects = std::vector<Effect>;
 
 } // namespace lagoontiller::control
--- a/source/control/Events.h
+++ b/source/control/Events.h
@@ -114,6 +114,10 @@
     engines::EngineLoad load;
 };
 
+struct PoisonNoticed {
+    policy::PoisonNotice notice;
+};
+
 struct OutcomeReported {
     nodes::wire::OutcomeReport report;
 };
@@ -127,7 +131,7 @@
 
 using Event = std::variant<CallArrived, GenerationStarted, GenerationFinished, GenerationFailed, ServiceFinished,
     MemoryReleased, ForwardAnswered, ForwardFailed, TransactionReplied, ObjectWritten, RowReplied, RowsReplied,
-    ObjectReplied, MembersChanged, DocumentChanged, VmListChanged, LoadReported, OutcomeReported, PartitionsHandedOver,
-    DrainRequested, Tick>;
+    ObjectReplied, MembersChanged, DocumentChanged, VmListChanged, LoadReported, PoisonNoticed, OutcomeReported,
+    PartitionsHandedOver, DrainRequested, Tick>;
 
 } // namespace lagoontiller::control
--- a/source/control/NodeLink.cpp
+++ b/source/control/NodeLink.cpp
@@ -13,6 +13,8 @@
 
 // Stream ids of two runs of one node never meet: each run starts at its own incarnation.
 constexpr unsigned incarnationShift = 20;
+// Bounds an age that a faulty peer claims.
+constexpr std::uint64_t oldestNoticeMs = 3'600'000;
 
 nodes::Member ownRecord(const settings::Settings& settings)
 {
@@ -66,6 +68,15 @@
     return result;
 }
 
+policy::PoisonNotice noticeFrom(const nodes::wire::PoisonNotice& wire)
+{
+    policy::PoisonNotice notice;
+    notice.endpoint = wire.endpoint();
+    notice.digests.assign(wire.digests().begin(), wire.digests().end());
+    notice.age = std::chrono::milliseconds(std::min<std::uint64_t>(wire.age_ms(), oldestNoticeMs));
+    return notice;
+}
+
 int resultCodeOf(const http::Headers& headers)
 {
     const auto value = http::headerValue(headers, "X-Result-Code");
@@ -133,7 +144,7 @@
     else if (envelope.has_handover())
         this->handlers.event(PartitionsHandedOver {});
     else if (envelope.has_poison_notice())
-        this->handlers.poisonNoticed(envelope.poison_notice());
+        this->handlers.event(PoisonNoticed { noticeFrom(envelope.poison_notice()) });
 }
 
 void NodeLink::tick(core::TimePoint now)
--- a/source/control/NodeLink.h
+++ b/source/control/NodeLink.h
@@ -29,7 +29,6 @@
         std::function<void(const std::string& list)> vmListAdopted;
         std::function<void(callers::IncomingRequest, callers::ResponseStreamPointer)> requestArrived;
         std::function<void(Event)> event;
-        std::function<void(const nodes::wire::PoisonNotice&)> poisonNoticed;
     };
     /// \brief Runs a function on the control thread.
     using Post = std::function<void(std::function<void()>)>;
--- a/source/control/Runtime.cpp
+++ b/source/control/Runtime.cpp
@@ -159,7 +159,6 @@
         this->acceptRequest(std::move(request), std::move(response), true);
     };
     handlers.event = [this](const Event& event) { this->dispatch(event); };
-    handlers.poisonNoticed = [](const nodes::wire::PoisonNotice&) {};
     return handlers;
 }
 
@@ -367,6 +366,17 @@
     this->nodes->send(effect.node, std::move(effect.envelope));
 }
 
+void Runtime::perform(SpreadPoisonNotice effect)
+{
+    nodes::wire::Envelope envelope;
+    auto* notice = envelope.mutable_poison_notice();
+    notice->set_endpoint(effect.notice.endpoint);
+    for (auto& digest : effect.notice.digests)
+        notice->add_digests(std::move(digest));
+    notice->set_age_ms(static_cast<std::uint64_t>(effect.notice.age.count() / 1000));
+    this->nodes->broadcast(envelope);
+}
+
 void Runtime::perform(StoreOperation effect)
 {
     std::visit([&](const auto& operation) { this->store(effect.user, operation); }, effect.operation);
--- a/source/control/Runtime.h
+++ b/source/control/Runtime.h
@@ -62,6 +62,7 @@
     void perform(PollLoad effect);
     void perform(ForwardCall effect);
     void perform(SendToNode effect);
+    void perform(SpreadPoisonNotice effect);
     void perform(StoreOperation effect);
     void perform(Drained effect);
 
--- a/source/control/ServiceCalls.cpp
+++ b/source/control/ServiceCalls.cpp
@@ -10,9 +10,6 @@
 using core::ResultCode;
 using core::RunState;
 
-constexpr int mostAttempts = 4;
-constexpr auto firstRetryDelay = std::chrono::milliseconds(100);
-
 policy::FailureKind policyKind(const core::Error& error)
 {
     if (error.ran == RunState::NotRun)
@@ -37,62 +34,101 @@
         call.requestId, call.repeatable };
     const auto decision = this->context.ledger.decide(
         asked, this->context.durable.find(call.program), this->context.durable.storeAvailable(), now);
-    std::visit(
-        Overloaded {
-            [&](const state::RunCall&) {
-                if (this->reserve(call, now))
-                    this->dispatch(call, now);
-            },
-            [&](const state::CommitIntent& intent) {
-                if (!this->reserve(call, now))
-                    return;
-                auto entries = std::move(call.startEntries);
-                entries.push_back(intent.entry);
-                call.phase = CallPhase::AwaitsRecords;
-                call.due = now + this->context.settings.endpointWait;
-                const auto appended
-                    = this->context.durable.append(call.program, std::move(entries), IntentRecorded { call.id }, now);
-                if (!appended) {
-                    this->context.ledger.onIntentRejected(call.program, call.callKey);
-                    this->fail(call, appended.error(), now);
-                }
-            },
-            [&](const state::JoinCall& running) { this->join(call, running.requestId); },
-            [&](const state::ReplayCall& replay) {
-                call.serviceAnswer
-                    = { static_cast<int>(replay.result.status), replay.result.contentType, replay.result.body };
-                this->respond(call, this->context.durable.isPending(call.program) ? "pending" : "committed", now);
-            },
-            [&](const state::RefuseCall& refused) { this->context.refuse(call, refused.error, shortRetryMs); },
-        },
+    std::visit(Overloaded {
+                   [&](const state::RunCall&) { this->enqueue(call, now); },
+                   [&](const state::CommitIntent& intent) {
+                       call.intent = intent.entry;
+                       this->enqueue(call, now);
+                   },
+                   [&](const state::JoinCall& running) { this->join(call, running.requestId); },
+                   [&](const state::ReplayCall& replay) {
+                       call.serviceAnswer
+                           = { static_cast<int>(replay.result.status), replay.result.contentType, replay.result.body };
+                       this->respond(
+                           call, this->context.durable.isPending(call.program) ? "pending" : "committed", now);
+                   },
+                   [&](const state::RefuseCall& refused) { this->context.refuse(call, refused.error, shortRetryMs); },
+               },
         decision);
 }
 
-bool ServiceCalls::reserve(Call& call, core::TimePoint now)
+void ServiceCalls::enqueue(Call& call, core::TimePoint now)
 {
-    const auto abandon = [&](const core::Error& error) {
-        if (call.repeatable)
-            this->context.ledger.onRecorded(call.program, call.callKey);
-        else
-            this->context.ledger.onIntentRejected(call.program, call.callKey);
-        this->context.refuse(call, error);
-        return false;
-    };
     auto entries = openProgram(this->context, call, now);
-    if (!entries)
-        return abandon(entries.error());
+    if (!entries) {
+        this->giveUp(call, entries.error(), now, 0);
+        return;
+    }
     const auto decision = this->context.budgets.reserve(call.program, 0, state::WorkKind::Call, now);
-    if (const auto* refused = std::get_if<state::BudgetRefused>(&decision))
-        return abandon(refused->error);
+    if (const auto* refused = std::get_if<state::BudgetRefused>(&decision)) {
+        this->giveUp(call, refused->error, now, 0);
+        return;
+    }
     if (const auto* spend = std::get_if<state::SpendNow>(&decision))
         call.reservation = spend->reservation;
     call.startEntries = std::move(*entries);
-    return true;
+    call.phase = CallPhase::Queued;
+    const auto admitted = this->context.dispatch.arrive(call, this->dispatchRequest(call), now);
+    if (!admitted)
+        this->giveUp(call, admitted.error().error, now, retryMs(admitted.error().retryAfter));
+}
+
+DispatchRequest ServiceCalls::dispatchRequest(const Call& call) const
+{
+    const auto* request = call.service();
+    DispatchRequest wanted;
+    wanted.service = request->service;
+    wanted.requestBytes = request->body.size();
+    wanted.repeatable = call.repeatable;
+    wanted.digest = request->digest;
+    wanted.deadline = call.arrived + this->context.settings.endpointWait;
+    const auto* programClass = classOf(this->context, call);
+    wanted.priority = programClass == nullptr ? 0 : static_cast<int>(programClass->priority);
+    const auto* program = this->context.durable.find(call.program);
+    wanted.started = program != nullptr && !program->turns.empty();
+    return wanted;
+}
+
+void ServiceCalls::onAssigned(Call& call, const Assigned& assigned, core::TimePoint now)
+{
+    this->context.calls.setAttempt(call, assigned.attempt);
+    call.destination = assigned.destination;
+    call.timeout = assigned.timeout;
+    auto entries = std::exchange(call.startEntries, {});
+    if (!call.intent) {
+        // A repeatable call does not wait for the record that opens its program.
+        if (!entries.empty())
+            static_cast<void>(this->context.durable.append(call.program, std::move(entries), Unattended {}, now));
+        this->send(call);
+        return;
+    }
+    if (!this->context.durable.storeAvailable()) {
+        const core::Error error(ResultCode::StoreUnavailable, "the intent cannot be recorded while the store is down");
+        this->giveUp(call, error, now, shortRetryMs);
+        return;
+    }
+    entries.push_back(*call.intent);
+    const auto appended
+        = this->context.durable.append(call.program, std::move(entries), IntentRecorded { call.id }, now);
+    if (!appended) {
+        this->giveUp(call, appended.error(), now, shortRetryMs);
+        return;
+    }
+    call.intent.reset();
+    call.phase = CallPhase::AwaitsRecords;
+    call.due = now + this->context.settings.intentWait;
+}
+
+void ServiceCalls::onDropped(Call& call, const policy::DroppedCall& dropped, core::TimePoint now)
+{
+    this->giveUp(call, dropped.error, now, retryMs(dropped.retryAfter));
 }
 
 void ServiceCalls::onIntentRecorded(
     Call& call, const std::optional<core::Error>& error, core::TimePoint firstSent, core::TimePoint now)
 {
+    if (call.phase != CallPhase::AwaitsRecords)
+        return;
     if (error) {
         this->context.ledger.onIntentRejected(call.program, call.callKey);
         this->fail(call, *error, now);
@@ -103,70 +139,47 @@
         this->fail(call, refused->error, now, 0);
         return;
     }
-    this->dispatch(call, now);
+    this->send(call);
 }
 
-void ServiceCalls::onStartRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now)
+void ServiceCalls::send(Call& call)
 {
-    static_cast<void>(now);
-    if (error)
-        core::logWarning("program_open_not_recorded").with("request", call.requestId).with("message", error->message);
-}
-
-void ServiceCalls::dispatch(Call& call, core::TimePoint now)
-{
-    if (!call.startEntries.empty()) {
-        // A repeatable call does not wait for the record that opens its program.
-        static_cast<void>(this->context.durable.append(call.program, std::move(call.startEntries), Unattended {}, now));
-        call.startEntries.clear();
-    }
     const auto* request = call.service();
-    DispatchRequest wanted;
-    wanted.service = request->service;
-    wanted.requestBytes = request->body.size();
-    wanted.repeatable = call.repeatable;
-    wanted.excluded = call.excluded;
-    const auto destination = this->context.dispatch.choose(wanted, now);
-    if (!destination) {
-        if (now - call.arrived > this->context.settings.endpointWait) {
-            this->onFailure(call, destination.error(), now);
-        } else {
-            call.phase = CallPhase::AwaitsRetry;
-            call.due = now + firstRetryDelay;
-        }
-        return;
-    }
-    this->context.calls.setAttempt(call, ++this->context.lastAttempt);
     ++call.attempts;
     call.phase = CallPhase::Running;
-    call.endpointId = destination->endpoint;
-    call.endpoint = destination->address;
-    this->context.dispatch.sent(call.attempt, *destination, wanted, now);
+    call.endpoint = call.destination.address;
     services::ServiceRequest outgoing;
-    outgoing.endpoint = destination->address;
+    outgoing.endpoint = call.endpoint;
     outgoing.path = request->path;
     outgoing.contentType = request->contentType;
     outgoing.body = request->body;
     outgoing.requestId = call.requestId + "." + std::to_string(call.attempts);
     outgoing.idempotencyKey = call.callKey;
     outgoing.repeatable = call.repeatable;
-    outgoing.timeout = std::chrono::milliseconds(call.document->service(request->service)->timeoutMs);
+    // A learned limit that is too short only repeats a repeatable call; it would leave the outcome of another unknown.
+    const auto limit = std::chrono::milliseconds(call.document->service(request->service)->timeoutMs);
+    outgoing.timeout = call.repeatable ? std::min<core::Duration>(call.timeout, limit) : core::Duration(limit);
     this->context.effects.push_back(CallService { call.attempt, std::move(outgoing) });
 }
 
 void ServiceCalls::onFinished(const ServiceFinished& event, core::TimePoint now)
 {
-    if (event.answer)
+    policy::AttemptOutcome outcome;
+    if (event.answer) {
         this->context.dispatch.finished(event.attempt, {}, now);
-    else
-        this->context.dispatch.failed(event.attempt, policyKind(event.answer.error()), now);
+    } else {
+        const auto& error = event.answer.error();
+        outcome = this->context.dispatch.failed(event.attempt, policyKind(error), error.ran, now);
+    }
+    if (outcome.notice)
+        this->context.effects.push_back(SpreadPoisonNotice { *outcome.notice });
     auto* call = this->context.calls.findAttempt(event.attempt);
     if (call == nullptr || call->phase != CallPhase::Running)
         return;
     if (event.answer)
         this->onAnswer(*call, *event.answer, now);
     else
-        this->onFailure(*call, event.answer.error(), now);
+        this->onFailure(*call, event.answer.error(), outcome, now);
 }
 
 void ServiceCalls::onAnswer(Call& call, services::ServiceAnswer answer, core::TimePoint now)
@@ -205,7 +218,8 @@
     }
 }
 
-void ServiceCalls::onFailure(Call& call, const core::Error& error, core::TimePoint now)
+void ServiceCalls::onFailure(
+    Call& call, const core::Error& error, const policy::AttemptOutcome& outcome, core::TimePoint now)
 {
     core::logWarning("attempt_failed")
         .with("request", call.requestId)
@@ -213,31 +227,38 @@
         .with("name", core::name(error.code))
         .with("ran", core::name(error.ran))
         .with("message", error.message);
-    const bool mayTryAgain = call.repeatable || error.ran == RunState::NotRun;
-    if (mayTryAgain && !call.orphaned && call.attempts < mostAttempts
-        && now - call.arrived < this->context.settings.endpointWait) {
-        call.excluded.push_back(call.endpointId);
-        call.phase = CallPhase::AwaitsRetry;
-        const auto most = firstRetryDelay * (1 << std::min(call.attempts, 5));
-        std::uniform_int_distribution<std::int64_t> jitter(most.count() / 2, most.count());
-        call.due = now + std::chrono::milliseconds(jitter(this->context.random));
-        return;
-    }
     if (call.orphaned) {
         this->fail(call, error, now, 0);
         return;
     }
-    const bool notRun = error.ran == RunState::NotRun;
-    auto entry = notRun ? this->context.ledger.onNotSent(call.program, call.callKey)
-                        : this->context.ledger.onUnknown(call.program, call.callKey);
-    if (entry && !call.repeatable)
-        static_cast<void>(this->context.durable.append(call.program, { *entry }, Unattended {}, now));
-    this->context.ledger.onRecorded(call.program, call.callKey);
-    const auto refusal = notRun || call.repeatable
-        ? error
-        : core::Error(ResultCode::OutcomeUnknown, "the call may have run and is not sent again: " + error.message,
-            RunState::MayHaveRun);
-    this->fail(call, refusal, now, notRun ? shortRetryMs : 0);
+    if (outcome.retryAt && (call.repeatable || error.ran == RunState::NotRun)) {
+        call.phase = CallPhase::Queued;
+        return;
+    }
+    this->giveUp(call, outcome.error.value_or(error), now, error.ran == RunState::NotRun ? shortRetryMs : 0);
+}
+
+void ServiceCalls::giveUp(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs)
+{
+    auto& ledger = this->context.ledger;
+    auto refusal = error;
+    if (call.attempts == 0 && call.intent) {
+        ledger.onIntentRejected(call.program, call.callKey);
+    } else if (call.repeatable) {
+        ledger.onRecorded(call.program, call.callKey);
+    } else {
+        const bool notRun = error.ran == RunState::NotRun;
+        const auto entry
+            = notRun ? ledger.onNotSent(call.program, call.callKey) : ledger.onUnknown(call.program, call.callKey);
+        if (entry)
+            static_cast<void>(this->context.durable.append(call.program, { *entry }, Unattended {}, now));
+        ledger.onRecorded(call.program, call.callKey);
+        if (!notRun) {
+            refusal = { ResultCode::OutcomeUnknown, "the call may have run and is not sent again: " + error.message,
+                RunState::MayHaveRun };
+        }
+    }
+    this->fail(call, refusal, now, retryAfterMs);
 }
 
 void ServiceCalls::onRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now)
@@ -267,6 +288,7 @@
 
 void ServiceCalls::fail(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs)
 {
+    this->context.dispatch.cancel(call.id, now);
     if (call.reservation != 0 && error.ran == RunState::NotRun)
         this->context.budgets.cancel(call.program, call.reservation);
     else if (call.reservation != 0)
@@ -296,9 +318,7 @@
         auto* call = this->context.calls.find(id);
         if (call == nullptr)
             continue;
-        if (call->phase == CallPhase::AwaitsRetry) {
-            this->dispatch(*call, now);
-        } else if (call->phase == CallPhase::Recording) {
+        if (call->phase == CallPhase::Recording) {
             // The record stays queued; equal calls that come later find it in the program's state.
             this->context.ledger.onRecorded(call->program, call->callKey);
             this->respond(*call, "pending", now);
@@ -311,13 +331,14 @@
     }
 }
 
-void ServiceCalls::onPartitionDropped(Call& call)
+void ServiceCalls::onPartitionDropped(Call& call, core::TimePoint now)
 {
     if (call.phase == CallPhase::Running && !call.repeatable) {
         // The call has left: its answer still goes to the caller, and to the new owner for its records.
         call.orphaned = true;
         return;
     }
+    this->context.dispatch.cancel(call.id, now);
     const bool mayHaveRun = call.attempts > 0;
     const auto ran = mayHaveRun ? RunState::MayHaveRun : RunState::NotRun;
     this->context.refuse(call, { ResultCode::OwnerChanged, "the program has another owner now", ran }, shortRetryMs);
--- a/source/control/ServiceCalls.h
+++ b/source/control/ServiceCalls.h
@@ -14,14 +14,16 @@
 
     /// \brief Starts a call whose partition this node serves.
     void start(Call& call, core::TimePoint now);
-    /// \brief The records that open the program are durable.
-    void onStartRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now);
+    /// \brief The call has an endpoint now.
+    void onAssigned(Call& call, const Assigned& assigned, core::TimePoint now);
+    /// \brief The call gave up its place in the queue.
+    void onDropped(Call& call, const policy::DroppedCall& dropped, core::TimePoint now);
     void onIntentRecorded(
         Call& call, const std::optional<core::Error>& error, core::TimePoint firstSent, core::TimePoint now);
     void onFinished(const ServiceFinished& event, core::TimePoint now);
     void onRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now);
     void tick(core::TimePoint now);
-    void onPartitionDropped(Call& call);
+    void onPartitionDropped(Call& call, core::TimePoint now);
     /// \brief A node that lost a partition reports the result of a call that it had sent.
     void onOutcomeReported(const nodes::wire::OutcomeReport& report, core::TimePoint now);
     /// \brief Answers from the recorded result of a call with this key.
@@ -29,10 +31,13 @@
 
 private:
     void join(Call& call, const std::string& runningRequest);
-    [[nodiscard]] bool reserve(Call& call, core::TimePoint now);
-    void dispatch(Call& call, core::TimePoint now);
+    void enqueue(Call& call, core::TimePoint now);
+    void send(Call& call);
+    [[nodiscard]] DispatchRequest dispatchRequest(const Call& call) const;
     void onAnswer(Call& call, services::ServiceAnswer answer, core::TimePoint now);
-    void onFailure(Call& call, const core::Error& error, core::TimePoint now);
+    void onFailure(Call& call, const core::Error& error, const policy::AttemptOutcome& outcome, core::TimePoint now);
+    /// \brief Ends a call that was not answered, with the record that its state asks for.
+    void giveUp(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs);
     void record(Call& call, std::optional<records::Entry> entry, core::TimePoint now);
     void respond(Call& call, const std::string& commitState, core::TimePoint now);
     void fail(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs = shortRetryMs);
--- a/source/control/Turns.cpp
+++ b/source/control/Turns.cpp
@@ -12,9 +12,6 @@
 using core::ResultCode;
 using nlohmann::json;
 
-constexpr int mostAttempts = 5;
-constexpr auto firstRetryDelay = std::chrono::milliseconds(50);
-
 policy::FailureKind policyKind(const engines::EngineFailed& failure)
 {
     if (failure.status == 429 || failure.status == 503)
@@ -113,7 +110,11 @@
         call.reservation = std::get<state::SpendNow>(decision).reservation;
     }
     call.startEntries = std::move(*entries);
-    this->dispatch(call, now);
+    call.phase = CallPhase::Queued;
+    this->context.dispatch.resumed(cacheKey(call.program), now);
+    const auto admitted = this->context.dispatch.arrive(call, this->dispatchRequest(call), now);
+    if (!admitted)
+        this->fail(call, admitted.error().error, now, retryMs(admitted.error().retryAfter));
 }
 
 DispatchRequest Turns::dispatchRequest(const Call& call) const
@@ -129,41 +130,41 @@
     request.promptTokens = call.promptEstimate;
     request.expectedTokens = model->maximumTokens;
     request.requestBytes = call.request.body.size();
-    request.excluded = call.excluded;
+    request.digest = model->digest;
+    request.deadline = call.arrived + this->context.settings.endpointWait;
+    const auto* programClass = classOf(this->context, call);
+    request.priority = programClass == nullptr ? 0 : static_cast<int>(programClass->priority);
+    const auto* program = this->context.durable.find(call.program);
+    request.started = program != nullptr && !program->turns.empty();
     return request;
 }
 
-void Turns::dispatch(Call& call, core::TimePoint now)
+void Turns::onAssigned(Call& call, const Assigned& assigned, core::TimePoint now)
 {
-    const auto destination = this->context.dispatch.choose(this->dispatchRequest(call), now);
-    if (!destination) {
-        if (now - call.arrived > this->context.settings.endpointWait)
-            this->fail(call, destination.error(), now);
-        else
-            this->retryLater(call, now);
-        return;
-    }
+    this->context.calls.setAttempt(call, assigned.attempt);
+    call.destination = assigned.destination;
+    call.timeout = assigned.timeout;
+    call.silence = assigned.silence;
     const auto* program = this->context.durable.find(call.program);
-    const bool known = program != nullptr && program->endpointsUsed.contains(destination->address);
+    const bool known = program != nullptr && program->endpointsUsed.contains(assigned.destination.address);
     if (!known)
-        call.startEntries.emplace_back().mutable_endpoint_used()->set_endpoint(destination->address);
-    // A new endpoint alone does not keep a known program waiting while the store is down: the work may be repeated and
-    // the record follows when the store is back.
-    const bool mustWait = !call.startEntries.empty()
-        && (call.chunkTokens > 0 || program == nullptr || !program->opened || this->context.durable.storeAvailable());
+        call.startEntries.emplace_back().mutable_endpoint_used()->set_endpoint(assigned.destination.address);
     if (call.startEntries.empty()) {
-        this->send(call, *destination, now);
+        this->send(call);
         return;
     }
-    if (mustWait && !this->context.durable.storeAvailable()) {
+    // A new endpoint alone does not keep a known program waiting while the store is down: the work may be repeated and
+    // the record follows when the store is back.
+    const bool storeAvailable = this->context.durable.storeAvailable();
+    const bool mustWait = call.chunkTokens > 0 || program == nullptr || !program->opened || storeAvailable;
+    if (mustWait && !storeAvailable) {
         this->fail(
             call, { ResultCode::StoreUnavailable, "the budget cannot be reserved while the store is down" }, now);
         return;
     }
-    call.destination = *destination;
     const Purpose purpose = mustWait ? Purpose(StartRecorded { call.id }) : Purpose(Unattended {});
-    const auto appended = this->context.durable.append(call.program, std::move(call.startEntries), purpose, now);
-    call.startEntries.clear();
+    const auto appended
+        = this->context.durable.append(call.program, std::exchange(call.startEntries, {}), purpose, now);
     if (!appended) {
         this->fail(call, appended.error(), now);
         return;
@@ -171,7 +172,12 @@
     call.phase = CallPhase::AwaitsRecords;
     call.due = now + this->context.settings.endpointWait;
     if (!mustWait)
-        this->send(call, *destination, now);
+        this->send(call);
+}
+
+void Turns::onDropped(Call& call, const policy::DroppedCall& dropped, core::TimePoint now)
+{
+    this->fail(call, dropped.error, now, retryMs(dropped.retryAfter));
 }
 
 void Turns::onStartRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now)
@@ -185,18 +191,14 @@
     if (call.chunkTokens > 0)
         this->context.budgets.onCommitted(call.program, call.chunkTokens);
     call.chunkTokens = 0;
-    this->send(call, call.destination, now);
+    this->send(call);
 }
 
-void Turns::send(Call& call, const Destination& destination, core::TimePoint now)
+void Turns::send(Call& call)
 {
-    const auto request = this->dispatchRequest(call);
-    this->context.calls.setAttempt(call, ++this->context.lastAttempt);
     ++call.attempts;
     call.phase = CallPhase::Running;
-    call.endpointId = destination.endpoint;
-    call.endpoint = destination.address;
-    this->context.dispatch.sent(call.attempt, destination, request, now);
+    call.endpoint = call.destination.address;
     const auto* model = call.model();
     if (!call.answerOpen) {
         call.answerOpen = true;
@@ -205,16 +207,19 @@
         this->context.effects.push_back(OpenAnswer { call.id, model->stream, form });
     }
     engines::EngineRequest outgoing;
-    outgoing.endpoint = destination.address;
+    outgoing.endpoint = call.endpoint;
     outgoing.requestId = call.requestId + "." + std::to_string(call.attempts);
     outgoing.program = cacheKey(call.program);
     const auto* programClass = classOf(this->context, call);
     outgoing.priority = programClass == nullptr ? 0 : static_cast<int>(programClass->priority);
     outgoing.body = call.outgoingBody;
     outgoing.resumeText = call.text;
-    outgoing.silenceTimeout = std::chrono::milliseconds(call.document->limits().streamSilenceMs);
-    if (const auto* service = call.document->service(request.service))
-        outgoing.firstByteTimeout = std::chrono::milliseconds(service->timeoutMs);
+    // The document's limits bound the ones learned from what the service usually takes.
+    const auto silenceLimit = std::chrono::milliseconds(call.document->limits().streamSilenceMs);
+    outgoing.silenceTimeout = std::min<core::Duration>(call.silence, silenceLimit);
+    const auto* service = call.document->service(serviceOfModel(*call.document, model->model));
+    const auto limit = std::chrono::milliseconds(service == nullptr ? 0 : service->timeoutMs);
+    outgoing.firstByteTimeout = service == nullptr ? call.timeout : std::min<core::Duration>(call.timeout, limit);
     this->context.effects.push_back(Generate { call.attempt, call.id, std::move(outgoing) });
 }
 
@@ -278,15 +283,30 @@
         this->close(*call, "uncommitted", now);
         return;
     }
+    if (!event.result.toolCalls.empty())
+        this->onToolPause(*call, event.result, now);
     this->handle(this->context.turns.onAnswered(call->program, call->turn), now);
     if (auto* still = this->context.calls.find(id); still != nullptr && !this->context.durable.storeAvailable())
         this->close(*still, "pending", now);
 }
 
+void Turns::onToolPause(const Call& call, const engines::EngineFinished& result, core::TimePoint now)
+{
+    const auto& first = result.toolCalls.front();
+    std::string tool = "unknown";
+    if (first.contains("function") && first["function"].is_object())
+        tool = first["function"].value("name", tool);
+    const auto dropAt = this->context.dispatch.paused(cacheKey(call.program), tool, now);
+    if (dropAt)
+        this->context.effects.push_back(ReleaseMemory { call.program, *dropAt });
+}
+
 void Turns::onFailed(const GenerationFailed& event, core::TimePoint now)
 {
     const auto kind = policyKind(event.failure);
-    this->context.dispatch.failed(event.attempt, kind, now);
+    const auto outcome = this->context.dispatch.failed(event.attempt, kind, core::RunState::MayHaveRun, now);
+    if (outcome.notice)
+        this->context.effects.push_back(SpreadPoisonNotice { *outcome.notice });
     auto* call = this->context.calls.findAttempt(event.attempt);
     if (call == nullptr || call->phase != CallPhase::Running)
         return;
@@ -299,26 +319,18 @@
         CancelGeneration { event.attempt, call->endpoint, call->requestId + "." + std::to_string(call->attempts) });
     const bool refused = event.failure.status >= 400 && event.failure.status < 500 && event.failure.status != 429;
     if (refused) {
-        this->fail(*call,
-            { ResultCode::EndpointRefused, "the endpoint answered " + std::to_string(event.failure.status) }, now, 0);
+        const auto message = "the endpoint answered " + std::to_string(event.failure.status);
+        this->fail(*call, { ResultCode::EndpointRefused, message }, now, 0);
         return;
     }
     call->text = event.text;
-    call->excluded.push_back(call->endpointId);
-    if (call->attempts >= mostAttempts) {
-        this->fail(*call, { ResultCode::EndpointFailed, "several endpoints failed", core::RunState::MayHaveRun }, now);
+    if (!outcome.retryAt) {
+        const core::Error unknown(ResultCode::EndpointFailed, "the endpoint failed", core::RunState::MayHaveRun);
+        this->fail(*call, outcome.error.value_or(unknown), now);
         return;
     }
     call->turnAttempt = this->context.turns.nextAttempt(call->program, call->turn);
-    this->retryLater(*call, now);
-}
-
-void Turns::retryLater(Call& call, core::TimePoint now)
-{
-    const auto most = firstRetryDelay * (1 << std::min(call.attempts, 5));
-    std::uniform_int_distribution<std::int64_t> jitter(most.count() / 2, most.count());
-    call.phase = CallPhase::AwaitsRetry;
-    call.due = now + std::chrono::milliseconds(jitter(this->context.random));
+    call->phase = CallPhase::Queued;
 }
 
 void Turns::onRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now)
@@ -346,6 +358,7 @@
 {
     const auto program = call.program;
     const auto turn = call.turn;
+    this->context.dispatch.cancel(call.id, now);
     if (call.reservation != 0 && error.ran == core::RunState::NotRun && call.attempts == 0)
         this->context.budgets.cancel(program, call.reservation);
     else if (call.reservation != 0)
@@ -419,17 +432,16 @@
         auto* call = this->context.calls.find(id);
         if (call == nullptr)
             continue;
-        if (call->phase == CallPhase::AwaitsRetry)
-            this->dispatch(*call, now);
-        else if (call->phase == CallPhase::Recording)
+        if (call->phase == CallPhase::Recording)
             this->close(*call, "pending", now);
         else if (call->phase == CallPhase::AwaitsRecords)
             this->fail(*call, { ResultCode::StoreUnavailable, "the store did not answer in time" }, now);
     }
 }
 
-void Turns::onPartitionDropped(Call& call)
+void Turns::onPartitionDropped(Call& call, core::TimePoint now)
 {
+    this->context.dispatch.cancel(call.id, now);
     const bool started = call.attempts > 0;
     if (call.phase == CallPhase::Running) {
         this->context.effects.push_back(
--- a/source/control/Turns.h
+++ b/source/control/Turns.h
@@ -15,6 +15,10 @@
     /// \brief Starts a call whose partition this node serves.
     void start(Call& call, core::TimePoint now);
     void onStartRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now);
+    /// \brief The call has an endpoint now.
+    void onAssigned(Call& call, const Assigned& assigned, core::TimePoint now);
+    /// \brief The call gave up its place in the queue.
+    void onDropped(Call& call, const policy::DroppedCall& dropped, core::TimePoint now);
     void onFirstToken(AttemptId attempt, core::TimePoint now);
     void onFinished(const GenerationFinished& event, core::TimePoint now);
     void onFailed(const GenerationFailed& event, core::TimePoint now);
@@ -23,7 +27,7 @@
     void tick(core::TimePoint now);
     void handle(const std::vector<state::TurnEvent>& events, core::TimePoint now);
     /// \brief The call's program has another owner now.
-    void onPartitionDropped(Call& call);
+    void onPartitionDropped(Call& call, core::TimePoint now);
 
 private:
     [[nodiscard]] state::TurnRequest turnRequest(const Call& call) const;
@@ -31,9 +35,8 @@
     void run(Call& call, core::TimePoint now);
     void join(Call& call, const std::string& runningRequest);
     void replay(Call& call, const state::StoredTurn& turn);
-    void dispatch(Call& call, core::TimePoint now);
-    void send(Call& call, const Destination& destination, core::TimePoint now);
-    void retryLater(Call& call, core::TimePoint now);
+    void send(Call& call);
+    void onToolPause(const Call& call, const engines::EngineFinished& result, core::TimePoint now);
     void fail(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs = shortRetryMs);
     void close(Call& call, const std::string& commitState, core::TimePoint now);
     [[nodiscard]] DispatchRequest dispatchRequest(const Call& call) const;
