Free the key of a call that was given up before its intent was recorded

Cause: after a time-out in AwaitsRecords the ledger kept the key as abandoned. The call was gone, so neither the intent nor the not-run record reached the ledger, and every later call with the key was refused as in progress for as long as the node kept the partition. Ruled out: the store's state (the record is CallFinished with not_run, and fetch by key answers it).

Change: the not-run record has a purpose of its own, which frees the key when it is settled.

Before: AbandonedIntent.LetsTheKeyRunLater and AtMostOnce StoreDown failed (409, call_in_progress). After: both pass.

--- a/source/control/Controller.cpp
+++ b/source/control/Controller.cpp
@@ -272,6 +272,7 @@
                        withCall(result.call, [&](Call& call) { this->services.onRecorded(call, settled.error, now); });
                    },
                    [&](const EndRecorded& ended) { this->programs.onEndRecorded(ended, settled.error, now); },
+                   [&](const CallAbandoned& call) { this->context.ledger.onRecorded(call.program, call.key); },
                    [&](const Unattended&) {},
                },
         settled.purpose);
--- a/source/control/DurableState.h
+++ b/source/control/DurableState.h
@@ -31,10 +31,16 @@
     CallId call = 0;
     core::ProgramKey program;
 };
+/// \brief The record that a call was given up before its intent was durable.
+struct CallAbandoned {
+    core::ProgramKey program;
+    std::string key;
+};
 /// \brief Nothing waits for these records.
 struct Unattended { };
 /// \brief What goes on when records are durable, or are known never to be.
-using Purpose = std::variant<StartRecorded, TurnRecorded, IntentRecorded, ResultRecorded, EndRecorded, Unattended>;
+using Purpose = std::variant<StartRecorded, TurnRecorded, IntentRecorded, ResultRecorded, EndRecorded, CallAbandoned,
+    Unattended>;
 
 struct RecordsSettled {
     Purpose purpose;
--- a/source/control/ServiceCalls.cpp
+++ b/source/control/ServiceCalls.cpp
@@ -303,14 +303,25 @@
             this->context.ledger.onRecorded(call->program, call->callKey);
             this->respond(*call, "pending", now);
         } else if (call->phase == CallPhase::AwaitsRecords) {
-            const auto entry = this->context.ledger.abandon(call->program, call->callKey);
-            if (entry)
-                static_cast<void>(this->context.durable.append(call->program, { *entry }, Unattended {}, now));
+            this->abandon(*call, now);
             this->fail(*call, { ResultCode::StoreUnavailable, "the intent could not be recorded in time" }, now);
         }
     }
 }
 
+void ServiceCalls::abandon(Call& call, core::TimePoint now)
+{
+    const auto entry = this->context.ledger.abandon(call.program, call.callKey);
+    if (!entry)
+        return;
+    // The key is free again once the record is settled; without a record, the intent itself keeps the call from
+    // running.
+    const auto appended
+        = this->context.durable.append(call.program, { *entry }, CallAbandoned { call.program, call.callKey }, now);
+    if (!appended)
+        this->context.ledger.onRecorded(call.program, call.callKey);
+}
+
 void ServiceCalls::onPartitionDropped(Call& call)
 {
     if (call.phase == CallPhase::Running && !call.repeatable) {
--- a/source/control/ServiceCalls.h
+++ b/source/control/ServiceCalls.h
@@ -33,6 +33,8 @@
     void dispatch(Call& call, core::TimePoint now);
     void onAnswer(Call& call, services::ServiceAnswer answer, core::TimePoint now);
     void onFailure(Call& call, const core::Error& error, core::TimePoint now);
+    /// \brief Gives up a call whose intent is not recorded in time.
+    void abandon(Call& call, core::TimePoint now);
     void record(Call& call, std::optional<records::Entry> entry, core::TimePoint now);
     void respond(Call& call, const std::string& commitState, core::TimePoint now);
     void fail(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs = shortRetryMs);
