--- a/source/control/ServiceCalls.h
+++ b/source/control/ServiceCalls.h
@@ -38,6 +38,8 @@
     void onFailure(Call& call, const core::Error& error, const policy::AttemptOutcome& outcome, core::TimePoint now);
     /// \brief Ends a call that was not answered, with the record that its state asks for.
     void giveUp(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs);
+    /// \brief Gives up a call whose intent is not recorded in time.
+    void abandon(Call& call, core::TimePoint now);
     void record(Call& call, std::optional<records::Entry> entry, core::TimePoint now);
     void respond(Call& call, const std::string& commitState, core::TimePoint now);
     void fail(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs = shortRetryMs);
