Look up a call of a program with the program's id

The owner recognised the key, so nothing ran twice, but the lookup path was never exercised. A refusal outcome_unknown now counts as "may have run" at once; it was tried again for 40 s and then reported as a plain refusal.

--- a/standins/CarefulCaller.cpp
+++ b/standins/CarefulCaller.cpp
@@ -144,7 +144,7 @@
         outcome.tries = tries.count;
         auto lookup = Lookup::NotRun;
         if (tries.count > 1)
-            lookup = this->lookUpCall(tries, idempotencyKey, outcome);
+            lookup = this->lookUpCall(tries, program, idempotencyKey, outcome);
         if (lookup == Lookup::Result || lookup == Lookup::Unknown)
             return outcome;
         wait = defaultBackoffMs;
@@ -163,7 +163,10 @@
         }
         outcome.refusal = refusal.value_or(fakes::Refusal {});
         outcome.kind = CallerOutcome::Kind::Refused;
-        if (finalRefusals().contains(outcome.refusal.name))
+        // The owner never sends such a call again, so no other answer can follow.
+        if (outcome.refusal.name == "outcome_unknown")
+            outcome.kind = CallerOutcome::Kind::MayHaveRun;
+        if (outcome.kind == CallerOutcome::Kind::MayHaveRun || finalRefusals().contains(outcome.refusal.name))
             return outcome;
         wait = retryTime(response, outcome.refusal);
     } while (this->another(tries, wait));
@@ -171,10 +174,11 @@
 }
 
 CarefulCaller::Lookup CarefulCaller::lookUpCall(
-    const Tries& tries, const std::string& idempotencyKey, CallerOutcome& outcome)
+    const Tries& tries, const ProgramIdentity& program, const std::string& idempotencyKey, CallerOutcome& outcome)
 {
+    // The program names the owner of the key; without it the lookup goes to the program of calls without one.
     ClientRequest request { "GET", tries.address, "/v1/calls/" + encodePathPart(idempotencyKey),
-        { "Authorization: Bearer " + this->key }, "" };
+        this->headers(program), "" };
     const auto response = this->client.send(request);
     if (!response.complete)
         return Lookup::Unreachable;
