Refuse a program over its turns, calls or wall time with program_limit_reached

Cause: the budget ledger used budget_exhausted for every limit, while docs/result-codes.md keeps that code for tokens and names program_limit_reached (2005) for turns, calls and wall time. Callers were told with HTTP 402 to raise a token budget that was not the reason.

Ruled out: the traces state program_limit_reached in agreement with the table, and the count of turns itself is right; it is kept across the takeover that the demo causes.

Change: only the token limit gives budget_exhausted. The test table states the code of every refused row; it accepted budget_exhausted for all of them.

--- a/source/state/BudgetLedger.cpp
+++ b/source/state/BudgetLedger.cpp
@@ -8,9 +8,10 @@
 
 namespace {
 
-BudgetRefused exhausted(std::string what)
+BudgetRefused limitReached(std::string what)
 {
-    return { core::Error(core::ResultCode::BudgetExhausted, "the program's budget is exhausted: " + std::move(what)) };
+    return { core::Error(
+        core::ResultCode::ProgramLimitReached, "the program reached the limit of its class: " + std::move(what)) };
 }
 
 } // namespace
@@ -41,15 +42,16 @@
     }
     const auto& limits = account->limits;
     if (now - account->openedAt > limits.wallTime) {
-        return exhausted("wall time");
+        return limitReached("wall time");
     }
     const auto most = kind == WorkKind::Turn ? limits.turns : limits.calls;
     if (countOf(*account, kind) >= most) {
-        return exhausted(kind == WorkKind::Turn ? "turns" : "calls");
+        return limitReached(kind == WorkKind::Turn ? "turns" : "calls");
     }
     const auto before = account->spentTokens + account->heldTokens;
     if (before > limits.tokens || tokens > limits.tokens - before) {
-        return exhausted("tokens");
+        return BudgetRefused { core::Error(
+            core::ResultCode::BudgetExhausted, "the program's budget is exhausted: tokens") };
     }
     const auto needed = before + tokens;
     countOf(*account, kind) += 1;
--- a/tests/BudgetLedgerTests.cpp
+++ b/tests/BudgetLedgerTests.cpp
@@ -20,6 +20,7 @@
     WorkKind kind;
     int afterSeconds;
     std::optional<std::uint64_t> commitTotal; // Empty: refused. 0: spend now.
+    core::ResultCode refusal = core::ResultCode::Ok;
 };
 
 class Reservations : public testing::TestWithParam<BudgetCase> { };
@@ -33,7 +34,8 @@
         = ledger.reserve(child, given.tokens, given.kind, start + std::chrono::seconds(given.afterSeconds));
     if (!given.commitTotal) {
         ASSERT_TRUE(std::holds_alternative<BudgetRefused>(decision));
-        EXPECT_EQ(std::get<BudgetRefused>(decision).error.code, core::ResultCode::BudgetExhausted);
+        // Guards against telling a caller to raise its token budget when it reached another limit.
+        EXPECT_EQ(std::get<BudgetRefused>(decision).error.code, given.refusal);
     } else if (*given.commitTotal == 0) {
         EXPECT_TRUE(std::holds_alternative<SpendNow>(decision));
     } else {
@@ -49,12 +51,16 @@
         BudgetCase { "TakeoverCountsAllReserved", { 200, 100, 1, 0 }, Arrival::Takeover, 100, WorkKind::Turn, 0, 400 },
         BudgetCase { "ChunkEndsAtTheLimit", { 900, 900, 1, 0 }, Arrival::Takeover, 50, WorkKind::Turn, 0, 1000 },
         BudgetCase { "ExactRest", { 900, 900, 1, 0 }, Arrival::Takeover, 100, WorkKind::Turn, 0, 1000 },
-        BudgetCase { "OverTheLimit", { 900, 900, 1, 0 }, Arrival::Takeover, 101, WorkKind::Turn, 0, {} },
-        BudgetCase { "Turns", { 200, 0, 5, 0 }, Arrival::HandedOver, 1, WorkKind::Turn, 0, {} },
+        BudgetCase { "OverTheLimit", { 900, 900, 1, 0 }, Arrival::Takeover, 101, WorkKind::Turn, 0, {},
+            core::ResultCode::BudgetExhausted },
+        BudgetCase { "Turns", { 200, 0, 5, 0 }, Arrival::HandedOver, 1, WorkKind::Turn, 0, {},
+            core::ResultCode::ProgramLimitReached },
         BudgetCase { "TurnsDoNotLimitCalls", { 200, 0, 5, 0 }, Arrival::HandedOver, 0, WorkKind::Call, 0, 0 },
-        BudgetCase { "Calls", { 200, 0, 0, 3 }, Arrival::HandedOver, 0, WorkKind::Call, 0, {} },
+        BudgetCase { "Calls", { 200, 0, 0, 3 }, Arrival::HandedOver, 0, WorkKind::Call, 0, {},
+            core::ResultCode::ProgramLimitReached },
         BudgetCase { "WallTimeReached", {}, Arrival::HandedOver, 1, WorkKind::Turn, 60, 200 },
-        BudgetCase { "WallTimeOver", {}, Arrival::HandedOver, 1, WorkKind::Turn, 61, {} }),
+        BudgetCase { "WallTimeOver", {}, Arrival::HandedOver, 1, WorkKind::Turn, 61, {},
+            core::ResultCode::ProgramLimitReached }),
     [](const auto& info) { return info.param.name; });
 
 TEST(BudgetLedger, UnknownRootIsRefused)
