Add the operator console and the commands show, apply, history and status

Operators had only the JSON interface. The console serves HTML forms on the operator address: sign-in with limits, a draft that is carried in the form, faults beside their fields, preview, conditional acceptance, conflict and outcome pages, history and status. A node refuses settings with an operator address that is not loopback unless operator_allow_remote is set, because the address carries the operator key without encryption. The node status lists endpoints, programs, refusals, histograms and the document version of each node.

--- a/source/command/CheckCommand.cpp
+++ b/source/command/CheckCommand.cpp
@@ -4,6 +4,7 @@
 #include "command/ExitStatus.h"
 #include "command/ReadFile.h"
 #include "document/Check.h"
+#include "document/FaultJson.h"
 #include "document/IniText.h"
 #include "settings/Settings.h"
 
@@ -14,18 +15,9 @@
 
 namespace {
 
-nlohmann::ordered_json toJson(const document::Fault& fault)
-{
-    return { { "line", fault.line }, { "column", fault.column }, { "section", fault.section }, { "key", fault.key },
-        { "problem", fault.problem }, { "allowed", fault.allowed }, { "hint", fault.hint } };
-}
-
 void printJson(const std::string& file, const document::Faults& faults)
 {
-    auto list = nlohmann::ordered_json::array();
-    for (const auto& fault : faults)
-        list.push_back(toJson(fault));
-    const nlohmann::ordered_json report { { "file", file }, { "faults", std::move(list) } };
+    const nlohmann::ordered_json report { { "file", file }, { "faults", document::toJson(faults) } };
     std::cout << report.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) << '\n';
 }
 
--- a/source/command/Main.cpp
+++ b/source/command/Main.cpp
@@ -1,7 +1,11 @@
+#include "command/ApplyCommand.h"
 #include "command/CheckCommand.h"
 #include "command/ExitStatus.h"
 #include "command/HashKeyCommand.h"
+#include "command/HistoryCommand.h"
 #include "command/ServeCommand.h"
+#include "command/ShowCommand.h"
+#include "command/StatusCommand.h"
 
 #include <algorithm>
 #include <array>
@@ -22,6 +26,10 @@
 constexpr std::array subCommands {
     SubCommand { "serve", "Run one node", lagoontiller::command::runServe },
     SubCommand { "check", "List every fault of a document or settings file", lagoontiller::command::runCheck },
+    SubCommand { "show", "Print the document in force", lagoontiller::command::runShow },
+    SubCommand { "apply", "Check a document and accept it as the next version", lagoontiller::command::runApply },
+    SubCommand { "history", "List the accepted versions with their differences", lagoontiller::command::runHistory },
+    SubCommand { "status", "Show nodes, endpoints, programs and refusals", lagoontiller::command::runStatus },
     SubCommand { "hash-key", "Print the salt and hash lines of a new or given key", lagoontiller::command::runHashKey },
 };
 
--- a/source/control/Dispatch.h
+++ b/source/control/Dispatch.h
@@ -45,6 +45,10 @@
     /// \brief `unixMs` is this node's wall clock; it turns the engine's sample time into an age.
     void onLoad(const std::string& address, const engines::EngineLoad& load, core::TimePoint now, std::int64_t unixMs);
 
+    /// \brief The endpoints of the VM list, or of the document before the first VM list arrived.
+    [[nodiscard]] const std::map<std::string, policy::EndpointId>& endpoints() const noexcept { return this->listed; }
+    [[nodiscard]] bool hasVmList() const noexcept { return this->vms.has_value(); }
+    [[nodiscard]] const policy::Router& routes() const noexcept { return this->router; }
     /// \brief Whether the address is in the VM list, live or leaving.
     [[nodiscard]] bool isListed(const std::string& address) const { return this->listed.contains(address); }
     /// \brief Model endpoints that this node used since the last call of this function.
--- a/source/control/DocumentKeeper.cpp
+++ b/source/control/DocumentKeeper.cpp
@@ -143,6 +143,26 @@
     this->historyPage(std::make_shared<std::vector<document::VersionRow>>(), "", std::move(handler));
 }
 
+void DocumentKeeper::versions(document::DocumentVersion after, int limit,
+    std::function<void(core::Expected<std::vector<document::VersionRow>>)> handler)
+{
+    this->tables.scan("document/version/", document::versionRowKey(after), limit,
+        [this, handler = std::move(handler)](core::Expected<std::vector<tables::Row>> page) {
+            asio::post(this->context, [handler, page = std::move(page)] {
+                if (!page) {
+                    handler(tl::unexpected(page.error()));
+                    return;
+                }
+                std::vector<document::VersionRow> rows;
+                for (const auto& row : *page) {
+                    if (auto decoded = document::decodeVersionRow(row.value))
+                        rows.push_back(std::move(*decoded));
+                }
+                handler(std::move(rows));
+            });
+        });
+}
+
 void DocumentKeeper::historyPage(std::shared_ptr<std::vector<document::VersionRow>> rows, std::string after,
     std::function<void(core::Expected<std::vector<document::VersionRow>>)> handler)
 {
--- a/source/control/DocumentKeeper.h
+++ b/source/control/DocumentKeeper.h
@@ -39,6 +39,10 @@
     /// \brief Reads the rows of all versions, oldest first, in pages.
     void history(std::function<void(core::Expected<std::vector<document::VersionRow>>)> handler);
 
+    /// \brief Reads the rows that follow version `after`, oldest first, at most `limit`.
+    void versions(document::DocumentVersion after, int limit,
+        std::function<void(core::Expected<std::vector<document::VersionRow>>)> handler);
+
 private:
     struct Running;
 
--- a/source/control/NodeLink.cpp
+++ b/source/control/NodeLink.cpp
@@ -314,6 +314,12 @@
     this->handlers.membersChanged(std::move(members));
 }
 
+std::uint64_t NodeLink::documentVersionOf(const std::string& name) const
+{
+    const auto member = this->membership.find(name);
+    return member ? member->documentVersion : 0;
+}
+
 void NodeLink::receiveForward(const Envelope& envelope, core::TimePoint now)
 {
     const std::lock_guard lock(this->forwardMutex);
--- a/source/control/NodeLink.h
+++ b/source/control/NodeLink.h
@@ -58,6 +58,8 @@
 
     [[nodiscard]] const nodes::TransportCounts* counts() const noexcept;
     [[nodiscard]] const std::vector<Member>& members() const noexcept { return this->living; }
+    /// \brief Newest document version that the node is known to have; 0 when it is not known.
+    [[nodiscard]] std::uint64_t documentVersionOf(const std::string& node) const;
 
 private:
     struct Forwarded {
--- a/source/control/Runtime.cpp
+++ b/source/control/Runtime.cpp
@@ -1,5 +1,6 @@
 #include "control/Runtime.h"
 
+#include "control/NodeStatus.h"
 #include "core/Encoding.h"
 #include "core/Log.h"
 
@@ -66,6 +67,8 @@
           this->nodeHandlers(), core::monotonicNow()))
     , operatorApi(std::make_unique<operators::OperatorApi>(
           *this->documents, this->settings->operatorKey, [this] { return this->status(); }))
+    , console(std::make_unique<operators::Console>(
+          *this->documents, this->settings->operatorKey, [this] { return this->status(); }, core::monotonicNow))
     , callerServer(std::make_unique<callers::HttpServer>(callerServerSettings(*this->settings),
           [this](callers::IncomingRequest request, callers::ResponseStreamPointer response) {
               this->onRequest(std::move(request), std::move(response));
@@ -73,7 +76,10 @@
     , operatorServer(std::make_unique<callers::HttpServer>(operatorServerSettings(*this->settings),
           [this](callers::IncomingRequest request, callers::ResponseStreamPointer response) {
               asio::post(this->context, [this, request = std::move(request), response = std::move(response)] {
-                  this->operatorApi->handle(request, response);
+                  if (operators::Console::serves(request.target))
+                      this->console->handle(request, response);
+                  else
+                      this->operatorApi->handle(request, response);
               });
           }))
 {
@@ -185,15 +191,8 @@
 
 nlohmann::json Runtime::status() const
 {
-    const auto& state = this->controller->state();
-    nlohmann::json members = nlohmann::json::array();
-    for (const auto& member : state.members) {
-        members.push_back({ { "node", member.node }, { "zone", member.zone }, { "region", member.region },
-            { "caller_address", member.callerAddress }, { "leaving", member.leaving } });
-    }
-    return { { "node", state.settings.node }, { "document_version", state.documentVersion }, { "members", members },
-        { "partitions", state.durable.served().size() }, { "calls", state.calls.size() },
-        { "store_available", state.durable.storeAvailable() }, { "draining", state.draining } };
+    const auto versionOf = [this](const std::string& node) { return this->nodes->documentVersionOf(node); };
+    return nodeStatus(this->controller->state(), versionOf, core::monotonicNow());
 }
 
 void Runtime::scheduleTick()
--- a/source/control/Runtime.h
+++ b/source/control/Runtime.h
@@ -8,6 +8,7 @@
 #include "engines/EngineClient.h"
 #include "http/Client.h"
 #include "objects/ObjectClient.h"
+#include "operators/Console.h"
 #include "operators/OperatorApi.h"
 #include "services/ServiceClient.h"
 #include "settings/Settings.h"
@@ -93,6 +94,7 @@
     std::unique_ptr<DocumentKeeper> documents;
     std::unique_ptr<NodeLink> nodes;
     std::unique_ptr<operators::OperatorApi> operatorApi;
+    std::unique_ptr<operators::Console> console;
     std::unique_ptr<callers::HttpServer> callerServer;
     std::unique_ptr<callers::HttpServer> operatorServer;
     std::unordered_map<CallId, OpenCall> open;
--- a/source/core/Metrics.cpp
+++ b/source/core/Metrics.cpp
@@ -120,6 +120,16 @@
     return result;
 }
 
+std::vector<std::pair<MetricLabels, double>> MetricRegistry::counters(const std::string& name) const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<std::pair<MetricLabels, double>> result;
+    auto position = this->implementation->counters.lower_bound({ name, {} });
+    for (; position != this->implementation->counters.end() && position->first.first == name; ++position)
+        result.emplace_back(position->first.second, position->second);
+    return result;
+}
+
 std::string MetricRegistry::text() const
 {
     const std::lock_guard lock(this->mutex);
--- a/source/core/Metrics.h
+++ b/source/core/Metrics.h
@@ -39,6 +39,8 @@
     [[nodiscard]] std::vector<HistogramBucket> buckets(const std::string& name, const MetricLabels& labels) const;
     /// \brief Names and labels of all histograms, for the status page.
     [[nodiscard]] std::vector<std::pair<std::string, MetricLabels>> histograms() const;
+    /// \brief Labels and values of all counters with this name.
+    [[nodiscard]] std::vector<std::pair<MetricLabels, double>> counters(const std::string& name) const;
     [[nodiscard]] std::string text() const;
 
 private:
--- /dev/null
+++ b/source/operators/AcceptancePages.cpp
@@ -0,0 +1,195 @@
+#include "operators/AcceptancePages.h"
+
+#include "operators/DraftForm.h"
+#include "operators/Layout.h"
+#include "operators/Tables.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lagoontiller::operators {
+
+namespace {
+
+std::vector<Cell> changeRow(std::string_view kind, std::string_view section, std::string_view key,
+    std::string_view before, std::string_view after)
+{
+    const auto style = kind == "removed" ? "state-bad" : kind == "added" ? "state-good" : "state-warn";
+    return { textCell(kind, style), textCell("[" + std::string(section) + "]"), textCell(key), textCell(before),
+        textCell(after) };
+}
+
+Html changeRows(const std::vector<std::vector<Cell>>& rows)
+{
+    if (rows.empty())
+        return note(NoteKind::Plain, "No differences.");
+    return table({ "change", "section", "key", "before", "after" }, rows);
+}
+
+/// \brief A form that carries the draft, with the given buttons.
+class DraftButtons {
+public:
+    DraftButtons(const Draft& draft, const Session& session, const std::string& acceptanceId = {})
+    {
+        this->html.open("form", { { "method", "post" }, { "action", "/console/draft" } });
+        this->html.add(draftFields(draft, session));
+        if (!acceptanceId.empty())
+            this->html.single("input", { { "type", "hidden" }, { "name", "acceptance" }, { "value", acceptanceId } });
+        this->html.open("div", { { "class", "bar" } });
+    }
+
+    DraftButtons& button(std::string_view action, std::string_view text, std::string_view style = "")
+    {
+        this->html.element("button", text, { { "name", "do" }, { "value", action }, { "class", style } });
+        return *this;
+    }
+
+    [[nodiscard]] Html end() { return this->html.close("div").close("form"); }
+
+private:
+    Html html;
+};
+
+constexpr std::string_view backAction = "show deployment 0";
+
+Html conflictTable(const std::vector<document::MergeConflict>& conflicts)
+{
+    std::vector<std::vector<Cell>> rows;
+    for (const auto& conflict : conflicts)
+        rows.push_back({ textCell(document::format(conflict.mine)), textCell(document::format(conflict.theirs)) });
+    return table({ "your change", "their change" }, rows);
+}
+
+std::string versionText(document::DocumentVersion version)
+{
+    return "version " + std::to_string(version);
+}
+
+} // namespace
+
+Html changesTable(const document::Changes& changes)
+{
+    std::vector<std::vector<Cell>> rows;
+    for (const auto& change : changes)
+        rows.push_back(changeRow(document::name(change.kind()), change.section(),
+            change.key().empty() ? "(whole section)" : change.key(), change.shownBefore(), change.shownAfter()));
+    return changeRows(rows);
+}
+
+Html changesTable(const nlohmann::json& changes)
+{
+    const auto text = [](const nlohmann::json& change, const char* key) {
+        return change.is_object() ? change.value(key, std::string()) : std::string();
+    };
+    std::vector<std::vector<Cell>> rows;
+    for (const auto& change : changes) {
+        const auto key = text(change, "key");
+        rows.push_back(changeRow(text(change, "change"), text(change, "section"), key.empty() ? "(whole section)" : key,
+            text(change, "old"), text(change, "new")));
+    }
+    return changeRows(rows);
+}
+
+Html previewPage(const Preview& preview, const Session& session)
+{
+    Html html;
+    if (preview.changes.empty()) {
+        html.add(note(NoteKind::Plain,
+            "The draft has no faults and does not differ from " + versionText(preview.draft.base)
+                + ". There is nothing to accept."));
+        return html.add(DraftButtons(preview.draft, session).button(backAction, "Back to the form").end());
+    }
+    html.add(note(NoteKind::Success,
+        "The draft has no faults. These are its differences from " + versionText(preview.draft.base)
+            + (preview.draft.base == 0 ? ", the empty document." : ". Nothing has taken effect yet.")));
+    if (preview.current > preview.draft.base) {
+        html.add(note(NoteKind::Warning,
+            "Meanwhile " + versionText(preview.current)
+                + " was accepted. Accept shows how the two fit together; your input is kept."));
+    }
+    html.add(changesTable(preview.changes));
+    html.element("p", "The history will name you as the author: " + session.author + ".", { { "class", "help" } });
+    return html.add(DraftButtons(preview.draft, session, preview.acceptanceId)
+                        .button("accept", "Accept as version " + std::to_string(preview.draft.base + 1), "main")
+                        .button(backAction, "Back to the form")
+                        .end());
+}
+
+Html acceptedPage(document::DocumentVersion version, const Html& changes)
+{
+    Html html;
+    const auto number = std::to_string(version);
+    html.add(note(NoteKind::Success,
+        "Version " + number
+            + " is accepted. All nodes take it over within seconds; calls under way finish under the version they "
+              "started with."));
+    html.add(changes);
+    html.open("div", { { "class", "bar" } });
+    html.element("a", "Document version of each node", { { "href", "/console/status#nodes" }, { "class", "button" } });
+    html.element("a", "History", { { "href", "/console/history" }, { "class", "button" } });
+    return html.close("div");
+}
+
+Html conflictPage(const document::LostRace& race, const Draft& draft, const Session& session)
+{
+    Html html;
+    html.add(note(NoteKind::Warning,
+        race.currentAuthor + " was faster: " + versionText(race.currentVersion)
+            + " was accepted after you started from " + versionText(draft.base)
+            + ". Nothing of your draft has taken effect, and all of your input is kept."));
+    html.element("h2", "What " + versionText(race.currentVersion) + " changed").add(changesTable(race.winner));
+    html.element("h2", "Your changes that still fit");
+    html.add(changesTable(race.merge.kept));
+    Draft merged;
+    document::Faults none;
+    merged = draftFrom(document::print(race.merge.values), race.currentVersion, none);
+    if (!race.merge.conflicts.empty()) {
+        html.element("h2", "Your changes that do not fit").add(conflictTable(race.merge.conflicts));
+        html.element("p",
+            "The merged draft has the values of " + versionText(race.currentVersion)
+                + " in these places. Note your own values above if you want to enter them again.",
+            { { "class", "help" } });
+    }
+    html.add(DraftButtons(merged, session).button("check", "Continue with the merged draft", "main").end());
+    auto own = draft;
+    own.base = race.currentVersion;
+    html.element("h2", "Or keep your draft as it is");
+    html.element("p",
+        "This takes back the changes of " + versionText(race.currentVersion)
+            + " that your draft does not have. The preview shows them before anything is accepted.",
+        { { "class", "help" } });
+    return html.add(DraftButtons(own, session).button("check", "Continue with my whole draft").end());
+}
+
+Html outcomeUnknownPage(
+    const Draft& draft, const std::string& acceptanceId, const core::Error& error, const Session& session)
+{
+    Html html;
+    html.add(note(NoteKind::Warning,
+        "It is not known yet whether " + versionText(draft.base + 1)
+            + " was accepted: the reply of the store was lost. Your draft is kept. Ask again; the console reads the "
+              "version back and says whether it is yours."));
+    html.element("p",
+        "Result code " + std::to_string(static_cast<int>(error.code)) + " (" + std::string(core::name(error.code))
+            + "): " + error.message,
+        { { "class", "help" } });
+    return html.add(DraftButtons(draft, session, acceptanceId)
+                        .button("outcome", "Ask whether it was accepted", "main")
+                        .button(backAction, "Back to the form")
+                        .end());
+}
+
+Html notAcceptedPage(
+    const Draft& draft, const std::string& acceptanceId, const std::string& reason, const Session& session)
+{
+    Html html;
+    html.add(note(NoteKind::Fault, reason));
+    // Without an acceptance the preview failed, which comes first.
+    const bool wasPreviewed = !acceptanceId.empty();
+    return html.add(DraftButtons(draft, session, acceptanceId)
+                        .button(wasPreviewed ? "accept" : "check",
+                            wasPreviewed ? "Try to accept again" : "Check and preview again", "main")
+                        .button(backAction, "Back to the form")
+                        .end());
+}
+
+} // namespace lagoontiller::operators
--- a/source/operators/OperatorApi.cpp
+++ b/source/operators/OperatorApi.cpp
@@ -7,6 +7,7 @@
 #include "core/Log.h"
 #include "core/Time.h"
 #include "document/Difference.h"
+#include "document/FaultJson.h"
 
 namespace lagoontiller::operators {
 
@@ -30,16 +31,6 @@
     response->whole(core::httpStatus(error.code), callers::refusalHeaders(error, 0), callers::refusalBody(error, 0));
 }
 
-json faultsJson(const document::Faults& faults)
-{
-    json list = json::array();
-    for (const auto& fault : faults) {
-        list.push_back({ { "line", fault.line }, { "column", fault.column }, { "section", fault.section },
-            { "key", fault.key }, { "problem", fault.problem }, { "allowed", fault.allowed }, { "hint", fault.hint } });
-    }
-    return list;
-}
-
 json conflictJson(const document::LostRace& race)
 {
     json conflicts = json::array();
@@ -122,7 +113,7 @@
                            }
                            respond(response, core::httpStatus(refused.error.code),
                                { { "result", "faults" }, { "code", static_cast<int>(refused.error.code) },
-                                   { "faults", faultsJson(refused.faults) } });
+                                   { "faults", json::parse(document::toJson(refused.faults).dump()) } });
                        },
                        [&](const auto&) {
                            refuse(response, { ResultCode::Internal, "acceptance ended early" });
--- /dev/null
+++ b/source/operators/Tables.cpp
@@ -0,0 +1,50 @@
+#include "operators/Tables.h"
+
+#include <cmath>
+#include <cstdio>
+
+namespace lagoontiller::operators {
+
+Cell textCell(std::string_view text, std::string style)
+{
+    Cell cell;
+    cell.content.text(text);
+    cell.style = std::move(style);
+    return cell;
+}
+
+Cell numberCell(double number)
+{
+    return textCell(formatNumber(number), "number");
+}
+
+Html table(const std::vector<std::string>& heads, const std::vector<std::vector<Cell>>& rows)
+{
+    Html html;
+    html.open("div", { { "class", "table" } }).open("table").open("thead").open("tr");
+    for (const auto& head : heads)
+        html.element("th", head);
+    html.close("tr").close("thead").open("tbody");
+    for (const auto& row : rows) {
+        html.open("tr");
+        for (std::size_t column = 0; column < row.size(); ++column) {
+            const auto style = row[column].content.isEmpty() ? row[column].style + " none" : row[column].style;
+            html.open("td", { { "data-name", heads[column] }, { "class", style } });
+            html.add(row[column].content).close("td");
+        }
+        html.close("tr");
+    }
+    html.close("tbody").close("table").close("div");
+    return html;
+}
+
+std::string formatNumber(double number)
+{
+    std::string text(32, '\0');
+    const bool isWhole = std::floor(number) == number;
+    const int length = std::snprintf(text.data(), text.size(), isWhole ? "%.0f" : "%.2f", number);
+    text.resize(static_cast<std::size_t>(std::max(0, length)));
+    return text;
+}
+
+} // namespace lagoontiller::operators
--- a/source/settings/Settings.cpp
+++ b/source/settings/Settings.cpp
@@ -54,6 +54,7 @@
         .region = node.text("region"),
         .callerAddress = addressOf(node.text("caller_address")),
         .operatorAddress = addressOf(node.text("operator_address")),
+        .operatorAllowRemote = node.boolean("operator_allow_remote"),
         .nodeAddress = addressOf(node.text("node_address")),
         .seeds = addressesOf(node.list("seeds")),
         .tableAddress = addressOf(platform.text("table_address")),
@@ -87,6 +88,23 @@
     }
 }
 
+bool isLoopback(const std::string& ip)
+{
+    return ip.starts_with("127.") || ip == "::1";
+}
+
+// The operator address carries the operator key without encryption.
+void checkOperatorAddress(const Record& node, document::Faults& faults)
+{
+    const auto* const value = node.find("operator_address");
+    const bool isKnown = value != nullptr && value->canonical && !node.isRefused("operator_allow_remote");
+    if (!isKnown || node.boolean("operator_allow_remote") || isLoopback(addressOf(*value->canonical).ip))
+        return;
+    faults.push_back({ value->line, value->column, node.heading(), "operator_address",
+        *value->canonical + " can be reached from other machines, and the operator key is sent without encryption",
+        "an address that starts with 127. or [::1], or operator_allow_remote = true", "" });
+}
+
 // A public key of another pair would be noticed only when no other node accepts the connection.
 void checkKeyPair(const Record& keys, document::Faults& faults)
 {
@@ -115,6 +133,7 @@
     const auto node = section("node");
     const auto keys = section("keys");
     checkOwnAddresses(node, faults);
+    checkOperatorAddress(node, faults);
     checkKeyPair(keys, faults);
     document::sortByPosition(faults);
     if (!faults.empty())
--- a/source/settings/Settings.h
+++ b/source/settings/Settings.h
@@ -23,6 +23,8 @@
     const document::Address callerAddress;
     /// \brief Where the console and the operator API are served (HTTP).
     const document::Address operatorAddress;
+    /// \brief Whether the operator address may be reached from other machines although it is not encrypted.
+    const bool operatorAllowRemote;
     /// \brief Where other nodes connect (ZeroMQ).
     const document::Address nodeAddress;
     /// \brief Node addresses that a starting node contacts first; may be empty on the first node.
--- a/source/settings/SettingsSchema.cpp
+++ b/source/settings/SettingsSchema.cpp
@@ -34,6 +34,11 @@
     Field { .key = "region", .type = ValueType::Name, .presence = Required, .help = "Region of this VM." },
     address("caller_address", "Where callers connect (HTTP)."),
     address("operator_address", "Where the console and the operator API are served (HTTP)."),
+    Field { .key = "operator_allow_remote",
+        .type = ValueType::Boolean,
+        .defaultValue = "false",
+        .help = "Whether operator_address may be other than loopback. There is no TLS: everyone on the path can read the "
+                "operator key. Use it only on a network that encrypts, and prefer an SSH tunnel to a loopback address." },
     address("node_address", "Where other nodes connect (ZeroMQ)."),
     Field {
         .key = "seeds", .type = ValueType::AddressList, .help = "Node addresses that a starting node contacts first." },
