Price an endpoint by waiting calls and count only free calls as competing

Cause: an engine with free slots was priced as if a call waited for part of the running ones, and every call of the other nodes counted as competing although most follow their cache; calls left their cached endpoint too often. Change: waiting time only beyond the slots, a batch share below; calls bound to a cache no longer count as competing.

--- a/source/policy/Router.cpp
+++ b/source/policy/Router.cpp
@@ -172,6 +172,11 @@
     const double work = this->competingWork(request, *pool, candidates, now);
     const Candidate& chosen
         = candidates.entries[drawByWaterFilling(std::span(costs.data(), candidates.count), work, random)];
+    // Calls that follow their cache do not compete for the cheapest endpoint.
+    constexpr double boundPart = 0.5;
+    if (request.promptTokens == 0 || chosen.cached < boundPart * request.promptTokens) {
+        pool->recentSends += 1;
+    }
     return RouteDecision { chosen.endpoint, chosen.cost, chosen.queueMs, chosen.firstTokenMs, chosen.cached,
         static_cast<std::uint32_t>(candidates.count), chosen.crossRegion };
 }
@@ -294,14 +299,23 @@
     }
 }
 
+double Router::requestsAt(EndpointId endpoint, core::TimePoint now) const
+{
+    const ServiceLoad& service = this->services[this->table.row(endpoint).service];
+    const double meanOfOthers = service.reporting == 0 ? 0 : service.othersSum / service.reporting;
+    return this->loads[endpoint].estimate.requests(now, meanOfOthers);
+}
+
 double Router::queueMs(EndpointId endpoint, core::TimePoint now) const
 {
     const EndpointLoad& load = this->loads[endpoint];
     const ServiceLoad& service = this->services[this->table.row(endpoint).service];
-    const double meanOfOthers = service.reporting == 0 ? 0 : service.othersSum / service.reporting;
-    const double requests = load.estimate.requests(now, meanOfOthers);
-    const double queue
-        = requests * service.meanCallMs / this->options.slots + load.pendingPrefill / this->options.prefillTokensPerMs;
+    const double requests = this->requestsAt(endpoint, now);
+    // A call waits for a slot only when all are taken; below that it shares the batch with the running calls.
+    const double waiting = std::max(0.0, requests + 1 - this->options.slots);
+    const double batch = std::min(requests, this->options.slots) * this->options.batchSlowdown;
+    const double queue = (waiting / this->options.slots + batch) * service.meanCallMs
+        + load.pendingPrefill / this->options.prefillTokensPerMs;
     return queue * load.slowdown;
 }
 
@@ -312,7 +326,7 @@
         pool.recentSends = this->options.initialSendsPerSecond * sendRateMicroseconds / 1e6;
         pool.recentSendsAt = now;
     }
-    pool.recentSends = decayedSends(pool, now) + 1;
+    pool.recentSends = decayedSends(pool, now);
     pool.recentSendsAt = now;
     const auto end = candidates.entries.begin() + static_cast<std::ptrdiff_t>(candidates.count);
     const auto cheaper = [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; };
@@ -321,8 +335,10 @@
     const double perDecider = pool.recentSends / sendRateMicroseconds * std::min(age, maximumReportAgeMicroseconds);
     const double competing = (this->options.deciders - 1) * perDecider;
     const double part = static_cast<double>(candidates.count) / static_cast<double>(pool.all.size());
-    const double callMs = this->services[this->table.row(cheapest).service].meanCallMs / this->options.slots;
-    return competing * std::min(1.0, part) * callMs * request.latencyWeight;
+    const double callMs = this->services[this->table.row(cheapest).service].meanCallMs;
+    const bool free = this->requestsAt(cheapest, now) + 1 <= this->options.slots;
+    const double added = callMs * (free ? this->options.batchSlowdown : 1 / this->options.slots);
+    return competing * std::min(1.0, part) * added * request.latencyWeight;
 }
 
 void Router::endPrefill(InFlight& call)
@@ -344,7 +360,8 @@
     const double predicted = call.queueMs + uncached / this->options.prefillTokensPerMs
         + usage.completionTokens * this->options.msPerGeneratedToken;
     ServiceLoad& service = this->services[this->table.row(call.sent.endpoint).service];
-    service.meanCallMs += smoothing * (observed - service.meanCallMs);
+    const double served = std::max(0.0, observed - call.queueMs);
+    service.meanCallMs += smoothing * (served - service.meanCallMs);
     // Calls without tokens (tool and plain services) have no prediction to compare with.
     if (usage.completionTokens == 0) {
         return;
--- a/source/policy/Router.h
+++ b/source/policy/Router.h
@@ -20,6 +20,8 @@
     double billedMsPerMegabyte = 100;
     double prefillTokensPerMs = 8;
     double msPerGeneratedToken = 36;
+    /// \brief Part of `msPerGeneratedToken` that every other running call adds.
+    double batchSlowdown = 0.05;
     /// \brief Calls that an endpoint serves at once.
     double slots = 16;
     /// \brief Mean time of a call of a service of which none has finished yet.
@@ -149,6 +151,7 @@
     [[nodiscard]] bool admits(EndpointId endpoint, const RouteRequest& request) const;
     void add(EndpointId endpoint, const RouteRequest& request, Candidates& candidates, Random& random) const;
     void price(const RouteRequest& request, Candidates& candidates, core::TimePoint now) const;
+    [[nodiscard]] double requestsAt(EndpointId endpoint, core::TimePoint now) const;
     [[nodiscard]] double queueMs(EndpointId endpoint, core::TimePoint now) const;
     [[nodiscard]] double competingWork(
         const RouteRequest& request, EndpointPool& pool, const Candidates& candidates, core::TimePoint now) const;
