--- a/source/control/Call.cpp
+++ b/source/control/Call.cpp
@@ -2,6 +2,29 @@
 
 namespace lagoontiller::control {
 
+std::string_view name(CallPhase phase) noexcept
+{
+    switch (phase) {
+    case CallPhase::AwaitsPartition:
+        return "awaits partition";
+    case CallPhase::Forwarded:
+        return "forwarded";
+    case CallPhase::AwaitsTurn:
+        return "awaits turn";
+    case CallPhase::Queued:
+        return "queued";
+    case CallPhase::AwaitsRecords:
+        return "awaits records";
+    case CallPhase::Running:
+        return "running";
+    case CallPhase::Joined:
+        return "joined";
+    case CallPhase::Recording:
+        return "recording";
+    }
+    return "unknown";
+}
+
 Call& CallTable::add(Call call)
 {
     const auto id = call.id;
--- a/source/control/Call.h
+++ b/source/control/Call.h
@@ -34,6 +34,9 @@
     Recording,
 };
 
+/// \brief Words of the status page.
+[[nodiscard]] std::string_view name(CallPhase phase) noexcept;
+
 /// \brief Endpoint that a call goes to.
 struct Destination {
     policy::EndpointId endpoint = 0;
--- a/source/control/Dispatch.h
+++ b/source/control/Dispatch.h
@@ -82,13 +82,11 @@
     /// \brief The endpoints of the VM list, or of the document before the first VM list arrived.
     [[nodiscard]] const std::map<std::string, policy::EndpointId>& endpoints() const noexcept { return this->listed; }
     [[nodiscard]] bool hasVmList() const noexcept { return this->vms.has_value(); }
-    [[nodiscard]] const policy::Router& routes() const noexcept { return this->router; }
     /// \brief Whether the address is in the VM list, live or leaving.
     [[nodiscard]] bool isListed(const std::string& address) const { return this->listed.contains(address); }
     /// \brief Model endpoints that this node used since the last call of this function.
     [[nodiscard]] std::vector<std::string> takeRecentlyUsed();
     [[nodiscard]] const policy::Scheduler& state() const noexcept { return this->scheduler; }
-    [[nodiscard]] const std::map<std::string, policy::EndpointId>& endpoints() const noexcept { return this->listed; }
 
 private:
     void upsert(const std::string& address, const std::string& service, const std::string& zone,
--- a/source/control/NodeStatus.cpp
+++ b/source/control/NodeStatus.cpp
@@ -13,9 +13,6 @@
 // Bounds the page; the counts by class cover all programs.
 constexpr std::size_t listedPrograms = 20;
 
-constexpr std::array<std::string_view, 9> phaseNames { "awaits partition", "forwarded", "awaits turn", "awaits records",
-    "queued", "running", "awaits retry", "joined", "recording" };
-
 json membersStatus(const Context& context, const DocumentVersionOf& documentVersionOf)
 {
     json list = json::array();
@@ -48,8 +45,8 @@
 {
     json list = json::array();
     for (const auto& [address, id] : dispatch.endpoints()) {
-        const auto& row = dispatch.routes().endpoints().row(id);
-        const auto& load = dispatch.routes().load(id);
+        const auto& row = dispatch.state().router().endpoints().row(id);
+        const auto& load = dispatch.state().router().load(id);
         const auto [state, reason] = endpointState(row);
         json endpoint { { "address", address }, { "service", row.spec.service }, { "zone", row.spec.zone },
             { "region", row.spec.region }, { "state", state }, { "reason", reason },
@@ -107,16 +104,14 @@
 
 json callPhases(const CallTable& calls)
 {
-    std::array<std::size_t, phaseNames.size()> counts {};
+    std::map<std::string_view, std::size_t> counts;
     (void)calls.select([&counts](const Call& call) {
-        ++counts.at(static_cast<std::size_t>(call.phase));
+        ++counts[name(call.phase)];
         return false;
     });
     json result = json::object();
-    for (std::size_t index = 0; index < counts.size(); ++index) {
-        if (counts[index] > 0)
-            result[std::string(phaseNames[index])] = counts[index];
-    }
+    for (const auto& [phase, count] : counts)
+        result[std::string(phase)] = count;
     return result;
 }
 
