Say "may have run" when an earlier attempt may have run

Cause: a refusal took its run state from the last failure alone. After an engine had generated text, or a tool had run and lost its answer, a last attempt without an endpoint gave "not run". The same happened at an entry whose owner died with the request, and at the next owner. Ruled out: the failures themselves (NotConnected, 429 and 503 do mean that nothing ran).

Change: the call remembers that an attempt may have run; Context::refuse then never says "not run". An entry that sends a request to another owner after a lost one says so in the header X-Earlier-Attempt, which is read only from nodes. The reservation of such a call is settled, not cancelled.

Before: RepeatableCall.TellsThatAnEarlierAttemptMayHaveRun, TurnFlow.RefusalAfterAStartedAttemptDoesNotSayNotRun, RefusalAfterTheOwnerDiedDoesNotSayNotRun and RefusalOfTheNextOwnerDoesNotSayNotRun failed. After: they pass.

--- a/source/control/Call.h
+++ b/source/control/Call.h
@@ -86,6 +86,8 @@
     /// \brief The partition was lost while the call was at an endpoint.
     bool orphaned = false;
     bool repeatable = true;
+    /// \brief An earlier attempt, here or at an owner that is gone, may have run: no refusal may say "not run".
+    bool mayHaveRun = false;
     std::vector<CallId> joined;
     /// \brief Result that waits to be durable.
     services::ServiceAnswer serviceAnswer;
--- a/source/control/Context.cpp
+++ b/source/control/Context.cpp
@@ -62,8 +62,11 @@
     return this->settings.run + "-" + std::to_string(++this->lastRequest);
 }
 
-void Context::refuse(Call& call, const core::Error& error, std::uint64_t retryAfterMs)
+void Context::refuse(Call& call, const core::Error& reason, std::uint64_t retryAfterMs)
 {
+    auto error = reason;
+    if (call.mayHaveRun && error.ran == core::RunState::NotRun)
+        error.ran = core::RunState::MayHaveRun;
     for (const auto joined : std::vector<CallId>(call.joined)) {
         if (auto* other = this->calls.find(joined))
             this->refuse(*other, error, retryAfterMs);
--- a/source/control/Context.h
+++ b/source/control/Context.h
@@ -57,8 +57,9 @@
 
     [[nodiscard]] std::string newRequestId();
 
-    /// \brief Refuses the call and all calls that joined it, and forgets them.
-    void refuse(Call& call, const core::Error& error, std::uint64_t retryAfterMs = 0);
+    /// \brief Refuses the call and all calls that joined it, and forgets them. "Not run" becomes "may have run" when an
+    /// earlier attempt may have run.
+    void refuse(Call& call, const core::Error& reason, std::uint64_t retryAfterMs = 0);
     /// \brief Answers with a JSON body and forgets the call.
     void answer(Call& call, int status, http::Headers headers, std::string body);
     /// \brief Counts the end of a call in the histograms of its customer and class.
--- a/source/control/Entry.cpp
+++ b/source/control/Entry.cpp
@@ -48,6 +48,9 @@
     return request->identity.repeatable && (service == nullptr || service->mayRepeat(request->path));
 }
 
+/// \brief Tells the next owner that a node which is gone may have run the request.
+const std::string earlierAttemptHeader = "X-Earlier-Attempt";
+
 void setHeader(http::Headers& headers, const std::string& name, const std::string& value)
 {
     std::erase_if(headers, [&](const http::Header& header) { return http::sameName(header.name, name); });
@@ -62,6 +65,7 @@
     arrived.id = event.call;
     arrived.arrived = now;
     arrived.forwarded = event.forwarded;
+    arrived.mayHaveRun = event.forwarded && !http::headerValue(event.request.headers, earlierAttemptHeader).empty();
     arrived.request = event.request;
     arrived.requestId = this->context.newRequestId();
     arrived.document = this->context.document;
@@ -202,6 +206,10 @@
     auto* call = this->context.calls.find(event.call);
     if (call == nullptr || call->phase != CallPhase::Forwarded)
         return;
+    if (event.sent && (call->model() != nullptr || call->service() != nullptr)) {
+        call->mayHaveRun = true;
+        setHeader(call->request.headers, earlierAttemptHeader, "may have run");
+    }
     const auto* identity = identityOf(call->operation);
     const bool explicitTurn = call->model() == nullptr || (identity != nullptr && identity->turn);
     if (!event.sent || explicitTurn) {
--- a/source/control/ServiceCalls.cpp
+++ b/source/control/ServiceCalls.cpp
@@ -213,6 +213,7 @@
         .with("name", core::name(error.code))
         .with("ran", core::name(error.ran))
         .with("message", error.message);
+    call.mayHaveRun = call.mayHaveRun || error.ran != RunState::NotRun;
     const bool mayTryAgain = call.repeatable || error.ran == RunState::NotRun;
     if (mayTryAgain && !call.orphaned && call.attempts < mostAttempts
         && now - call.arrived < this->context.settings.endpointWait) {
@@ -267,7 +268,7 @@
 
 void ServiceCalls::fail(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs)
 {
-    if (call.reservation != 0 && error.ran == RunState::NotRun)
+    if (call.reservation != 0 && error.ran == RunState::NotRun && !call.mayHaveRun)
         this->context.budgets.cancel(call.program, call.reservation);
     else if (call.reservation != 0)
         this->context.budgets.settle(call.program, call.reservation, 0);
--- a/source/control/Turns.cpp
+++ b/source/control/Turns.cpp
@@ -37,6 +37,13 @@
     return policy::FailureKind::Crashed;
 }
 
+/// \brief False when the request certainly did not run: it never left, or the engine refused it.
+bool mayHaveRun(const engines::EngineFailed& failure)
+{
+    const bool refused = failure.status == 429 || failure.status == 503;
+    return !refused && failure.kind != http::FailureKind::NotConnected;
+}
+
 std::string serviceOfModel(const document::Document& document, const std::string& model)
 {
     for (const auto& service : document.services()) {
@@ -303,6 +310,7 @@
             { ResultCode::EndpointRefused, "the endpoint answered " + std::to_string(event.failure.status) }, now, 0);
         return;
     }
+    call->mayHaveRun = call->mayHaveRun || mayHaveRun(event.failure);
     call->text = event.text;
     call->excluded.push_back(call->endpointId);
     if (call->attempts >= mostAttempts) {
