Choose another endpoint when the chosen one began to leave before the commit

Cause: the endpoint is chosen before the start records are committed, which takes seconds when the store is slow; the request could go to an endpoint that the VM list had shown as leaving for more than 3 s.

Change: after the commit the endpoint's state is checked, and another one is chosen when it takes no new work.

Test: Drain.LeavingEndpointGetsNoCallThatWaitedForTheStore.

--- a/source/control/Dispatch.cpp
+++ b/source/control/Dispatch.cpp
@@ -113,6 +113,11 @@
     return Destination { decision->endpoint, this->addresses[decision->endpoint], decision->cachedTokens };
 }
 
+bool Dispatch::takesWork(policy::EndpointId endpoint) const
+{
+    return this->router.endpoints().row(endpoint).spec.state == policy::EndpointState::Live;
+}
+
 void Dispatch::sent(
     AttemptId attempt, const Destination& destination, const DispatchRequest& request, core::TimePoint now)
 {
--- a/source/control/Dispatch.h
+++ b/source/control/Dispatch.h
@@ -45,6 +45,8 @@
     /// \brief `unixMs` is this node's wall clock; it turns the engine's sample time into an age.
     void onLoad(const std::string& address, const engines::EngineLoad& load, core::TimePoint now, std::int64_t unixMs);
 
+    /// \brief Whether the endpoint still takes new work by the VM list.
+    [[nodiscard]] bool takesWork(policy::EndpointId endpoint) const;
     /// \brief Whether the address is in the VM list, live or leaving.
     [[nodiscard]] bool isListed(const std::string& address) const { return this->listed.contains(address); }
     /// \brief Model endpoints that this node used since the last call of this function.
--- a/source/control/Turns.cpp
+++ b/source/control/Turns.cpp
@@ -192,7 +192,11 @@
     if (call.chunkTokens > 0)
         this->context.budgets.onCommitted(call.program, call.chunkTokens);
     call.chunkTokens = 0;
-    this->send(call, call.destination, now);
+    // The endpoint was chosen before the commit, which takes seconds when the store is slow.
+    if (this->context.dispatch.takesWork(call.destination.endpoint))
+        this->send(call, call.destination, now);
+    else
+        this->dispatch(call, now);
 }
 
 void Turns::send(Call& call, const Destination& destination, core::TimePoint now)
