Continue a known program when the outage begins during its endpoint record

Cause: a call that waited only for the record of a new endpoint was held for 10 s and refused when the store went down during that wait, although the same call is sent at once when the outage is already known.

Change: such a call is sent when the store is found to be down.

Before: ProgramBudget.KnownProgramContinuesWithinItsChunk, TurnFlow.CommitStateIsPendingDuringAStoreOutage and CommittedTurnsSurviveTheOwner failed. After: they pass.

--- a/source/control/Call.h
+++ b/source/control/Call.h
@@ -79,6 +79,8 @@
     std::uint64_t promptEstimate = 0;
     /// \brief Budget total that becomes durable with the start records; 0 when no chunk is due.
     std::uint64_t chunkTokens = 0;
+    /// \brief The awaited records only name an endpoint; they do not hold up the call while the store is down.
+    bool awaitsEndpointOnly = false;
     std::vector<records::Entry> startEntries;
     nlohmann::json outgoingBody;
     nlohmann::json addedMessages;
--- a/source/control/Turns.cpp
+++ b/source/control/Turns.cpp
@@ -168,6 +168,7 @@
         return;
     }
     call.destination = *destination;
+    call.awaitsEndpointOnly = call.startEntries.size() == 1 && call.startEntries.front().has_endpoint_used();
     const Purpose purpose = mustWait ? Purpose(StartRecorded { call.id }) : Purpose(Unattended {});
     const auto appended = this->context.durable.append(call.program, std::move(call.startEntries), purpose, now);
     call.startEntries.clear();
@@ -425,8 +426,11 @@
 void Turns::tick(core::TimePoint now)
 {
     this->handle(this->context.turns.tick(now), now);
-    const auto due
-        = this->context.calls.select([&](const Call& call) { return call.model() != nullptr && call.due <= now; });
+    const bool storeDown = !this->context.durable.storeAvailable();
+    const auto due = this->context.calls.select([&](const Call& call) {
+        const bool released = storeDown && call.phase == CallPhase::AwaitsRecords && call.awaitsEndpointOnly;
+        return call.model() != nullptr && (call.due <= now || released);
+    });
     for (const auto id : due) {
         auto* call = this->context.calls.find(id);
         if (call == nullptr)
@@ -435,6 +439,8 @@
             this->dispatch(*call, now);
         else if (call->phase == CallPhase::Recording)
             this->close(*call, "pending", now);
+        else if (call->phase == CallPhase::AwaitsRecords && storeDown && call->awaitsEndpointOnly)
+            this->send(*call, call->destination, now);
         else if (call->phase == CallPhase::AwaitsRecords)
             this->fail(*call, { ResultCode::StoreUnavailable, "the store did not answer in time" }, now);
     }
