Let a draining node hand over a partition with overlapping calls

Cause: a partition is handed over when none of its calls is under way; under load there is always one, so that a drain did not end within 60 s of virtual time with 12 programs on 4 partitions.

Change: while a node drains, a call of a program without a call under way waits until its partition has moved; it goes to the successor then.

Before: Drain.UnderLoadHandsOverAndCutsOffNothing failed. After: it passes.

--- a/source/control/Controller.cpp
+++ b/source/control/Controller.cpp
@@ -41,10 +41,15 @@
 void Controller::place(Call& call, core::TimePoint now)
 {
     auto& durable = this->context.durable;
-    if (durable.serves(call.partition)) {
+    if (durable.serves(call.partition) && !this->waitsForHandOver(call)) {
         this->startAtOwner(call, now);
         return;
     }
+    if (durable.serves(call.partition) && !call.forwarded && now - call.arrived <= this->context.settings.ownerWait) {
+        call.phase = CallPhase::AwaitsPartition;
+        call.due = now + partitionRetryDelay;
+        return;
+    }
     if (durable.mayServeSoon(call.partition) && now - call.arrived <= this->context.settings.ownerWait) {
         durable.prioritise(call.partition);
         call.phase = CallPhase::AwaitsPartition;
@@ -59,6 +64,25 @@
     this->entry.forward(call, now);
 }
 
+bool Controller::waitsForHandOver(const Call& call) const
+{
+    // Without this, calls that overlap would keep a partition at a draining node for ever. Calls of a program that has
+    // one under way go on, because that one may wait for them.
+    const auto& context = this->context;
+    if (!context.draining || !context.calls.hasCallsOf(call.partition))
+        return false;
+    const auto misplaced = context.durable.misplaced();
+    const bool leaves = std::any_of(
+        misplaced.begin(), misplaced.end(), [&](const auto& each) { return each.first == call.partition; });
+    return leaves
+        && context.calls
+               .select([&](const Call& other) {
+                   return other.id != call.id && other.program == call.program && other.phase != CallPhase::Forwarded
+                       && other.phase != CallPhase::AwaitsPartition;
+               })
+               .empty();
+}
+
 void Controller::startAtOwner(Call& call, core::TimePoint now)
 {
     std::visit(Overloaded {
--- a/source/control/Controller.h
+++ b/source/control/Controller.h
@@ -44,6 +44,8 @@
     void on(const Tick& event, core::TimePoint now);
 
     void place(Call& call, core::TimePoint now);
+    /// \brief Whether the call has to wait until its partition has left this draining node.
+    [[nodiscard]] bool waitsForHandOver(const Call& call) const;
     void startAtOwner(Call& call, core::TimePoint now);
     void handle(const DurableEvents& events, core::TimePoint now);
     void on(const RecordsSettled& settled, core::TimePoint now);
