Stop the turns of an ended program; keep answers and late results when a partition is lost

Cause 1: an end released the engines' memory while a generation of the program went on or was about to be tried again; the engine then held memory for the ended program. Ruled out: the release itself, which was confirmed. Cause 2: an owner that was paused during a non-repeatable call learned of its loss when it recorded the result. The result was neither reported to the next owner nor given to the caller. The report of a call that was still running was sent once and dropped when the next owner was not yet known or not ready.

Change 1: recording an end names the programs of the tree; their running generations are cancelled and refused "may have run", their waiting turns "not run". Change 2: a call whose result waits for its record is answered as uncommitted when the partition is lost. Late results of calls that may run once are reported every 5 s for 60 s; recording them is idempotent.

Before: ProgramEnd.StopsARunningTurn and StopsATurnBetweenTwoAttempts, LateResult.OfAPausedOwnerIsRecordedByTheNextOne failed. After: they pass.

--- a/source/control/Controller.cpp
+++ b/source/control/Controller.cpp
@@ -29,6 +29,8 @@
     this->context.unixMs = unixMs;
     this->context.ledger.onLoop(now);
     std::visit([&](const auto& each) { this->on(each, now); }, event);
+    for (const auto& program : this->programs.takeEnded())
+        this->turns.onProgramEnded(program, now);
     return std::exchange(this->context.effects, {});
 }
 
@@ -327,9 +329,9 @@
         if (call == nullptr)
             continue;
         if (call->model() != nullptr)
-            this->turns.onPartitionDropped(*call);
+            this->turns.onPartitionDropped(*call, now);
         else if (call->service() != nullptr)
-            this->services.onPartitionDropped(*call);
+            this->services.onPartitionDropped(*call, now);
         else
             this->context.refuse(*call, changed, shortRetryMs);
     }
--- a/source/control/DurableState.h
+++ b/source/control/DurableState.h
@@ -39,8 +39,8 @@
 /// \brief Nothing waits for these records.
 struct Unattended { };
 /// \brief What goes on when records are durable, or are known never to be.
-using Purpose = std::variant<StartRecorded, TurnRecorded, IntentRecorded, ResultRecorded, EndRecorded, CallAbandoned,
-    Unattended>;
+using Purpose
+    = std::variant<StartRecorded, TurnRecorded, IntentRecorded, ResultRecorded, EndRecorded, CallAbandoned, Unattended>;
 
 struct RecordsSettled {
     Purpose purpose;
--- a/source/control/Programs.cpp
+++ b/source/control/Programs.cpp
@@ -108,7 +108,13 @@
         for (const auto& endpoint : state->endpointsUsed)
             entry.mutable_program_ended()->add_endpoints(endpoint);
     }
-    return this->context.durable.append(program, std::move(entries), std::move(purpose), now);
+    std::vector<core::ProgramKey> keys;
+    for (const auto& entry : entries)
+        keys.push_back({ entry.customer(), entry.program() });
+    auto appended = this->context.durable.append(program, std::move(entries), std::move(purpose), now);
+    if (appended)
+        this->ended.insert(this->ended.end(), keys.begin(), keys.end());
+    return appended;
 }
 
 void Programs::onEndRecorded(const EndRecorded& recorded, const std::optional<core::Error>& error, core::TimePoint now)
--- a/source/control/Programs.h
+++ b/source/control/Programs.h
@@ -23,6 +23,8 @@
     void onPartitionServed(core::PartitionId partition, core::TimePoint now);
     void onPartitionDropped(const std::vector<core::ProgramKey>& programs);
     void tick(core::TimePoint now);
+    /// \brief Programs whose end was recorded since the last call of this function.
+    [[nodiscard]] std::vector<core::ProgramKey> takeEnded() { return std::exchange(this->ended, {}); }
 
     [[nodiscard]] std::size_t openReleases() const noexcept { return this->releases.size(); }
 
@@ -42,6 +44,7 @@
 
     Context& context;
     std::map<ReleaseKey, Release> releases;
+    std::vector<core::ProgramKey> ended;
     std::map<core::ProgramKey, core::TimePoint> forgetAt;
     core::TimePoint nextExpiry {};
 };
--- a/source/control/ServiceCalls.cpp
+++ b/source/control/ServiceCalls.cpp
@@ -12,6 +12,10 @@
 
 constexpr int mostAttempts = 4;
 constexpr auto firstRetryDelay = std::chrono::milliseconds(100);
+// The next owner may not be known or not have recovered the partition yet, and messages may be lost, so a late result
+// is reported several times; recording it is idempotent.
+constexpr auto reportInterval = std::chrono::seconds(5);
+constexpr auto reportLifetime = std::chrono::seconds(60);
 
 policy::FailureKind policyKind(const core::Error& error)
 {
@@ -174,7 +178,7 @@
     call.serviceAnswer = std::move(answer);
     this->context.budgets.settle(call.program, call.reservation, 0);
     if (call.orphaned) {
-        this->reportLateResult(call, call.serviceAnswer);
+        this->reportLateResult(call, now);
         this->respond(call, "pending", now);
         return;
     }
@@ -291,6 +295,7 @@
 
 void ServiceCalls::tick(core::TimePoint now)
 {
+    this->sendReports(now);
     const auto due
         = this->context.calls.select([&](const Call& call) { return call.service() != nullptr && call.due <= now; });
     for (const auto id : due) {
@@ -323,8 +328,14 @@
         this->context.ledger.onRecorded(call.program, call.callKey);
 }
 
-void ServiceCalls::onPartitionDropped(Call& call)
+void ServiceCalls::onPartitionDropped(Call& call, core::TimePoint now)
 {
+    if (call.phase == CallPhase::Recording) {
+        if (!call.repeatable)
+            this->reportLateResult(call, now);
+        this->respond(call, "uncommitted", now);
+        return;
+    }
     if (call.phase == CallPhase::Running && !call.repeatable) {
         // The call has left: its answer still goes to the caller, and to the new owner for its records.
         call.orphaned = true;
@@ -335,23 +346,39 @@
     this->context.refuse(call, { ResultCode::OwnerChanged, "the program has another owner now", ran }, shortRetryMs);
 }
 
-void ServiceCalls::reportLateResult(const Call& call, const services::ServiceAnswer& answer)
+void ServiceCalls::reportLateResult(const Call& call, core::TimePoint now)
 {
-    const auto owner = this->context.durable.ownerOf(call.partition);
-    if (owner.empty() || owner == this->context.settings.node)
-        return;
-    SendToNode message { owner, {} };
-    auto* report = message.envelope.mutable_outcome_report();
-    report->set_partition(call.partition);
-    report->set_customer(call.program.customer);
-    report->set_program(call.program.program);
-    report->set_key(call.callKey);
-    report->set_digest(call.service()->digest);
-    report->set_request_id(call.requestId);
-    report->set_status(static_cast<std::uint32_t>(answer.status));
-    report->set_content_type(answer.contentType);
-    report->set_body(answer.body);
-    this->context.effects.push_back(std::move(message));
+    const auto& answer = call.serviceAnswer;
+    LateResult late { {}, now, now + reportLifetime };
+    late.report.set_partition(call.partition);
+    late.report.set_customer(call.program.customer);
+    late.report.set_program(call.program.program);
+    late.report.set_key(call.callKey);
+    late.report.set_digest(call.service()->digest);
+    late.report.set_request_id(call.requestId);
+    late.report.set_status(static_cast<std::uint32_t>(answer.status));
+    late.report.set_content_type(answer.contentType);
+    late.report.set_body(answer.body);
+    this->reports.push_back(std::move(late));
+    this->sendReports(now);
+}
+
+void ServiceCalls::sendReports(core::TimePoint now)
+{
+    for (auto& late : this->reports) {
+        if (late.due > now)
+            continue;
+        late.due = now + reportInterval;
+        const auto owner = this->context.durable.ownerOf(late.report.partition());
+        if (this->context.durable.serves(late.report.partition())) {
+            this->onOutcomeReported(late.report, now);
+        } else if (!owner.empty() && owner != this->context.settings.node) {
+            SendToNode message { owner, {} };
+            *message.envelope.mutable_outcome_report() = late.report;
+            this->context.effects.push_back(std::move(message));
+        }
+    }
+    std::erase_if(this->reports, [now](const LateResult& late) { return late.until <= now; });
 }
 
 void ServiceCalls::onOutcomeReported(const nodes::wire::OutcomeReport& report, core::TimePoint now)
--- a/source/control/ServiceCalls.h
+++ b/source/control/ServiceCalls.h
@@ -21,7 +21,7 @@
     void onFinished(const ServiceFinished& event, core::TimePoint now);
     void onRecorded(Call& call, const std::optional<core::Error>& error, core::TimePoint now);
     void tick(core::TimePoint now);
-    void onPartitionDropped(Call& call);
+    void onPartitionDropped(Call& call, core::TimePoint now);
     /// \brief A node that lost a partition reports the result of a call that it had sent.
     void onOutcomeReported(const nodes::wire::OutcomeReport& report, core::TimePoint now);
     /// \brief Answers from the recorded result of a call with this key.
@@ -38,9 +38,19 @@
     void record(Call& call, std::optional<records::Entry> entry, core::TimePoint now);
     void respond(Call& call, const std::string& commitState, core::TimePoint now);
     void fail(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs = shortRetryMs);
-    void reportLateResult(const Call& call, const services::ServiceAnswer& answer);
+    void reportLateResult(const Call& call, core::TimePoint now);
+
+    /// \brief Result that the present owner of its program has to record.
+    struct LateResult {
+        nodes::wire::OutcomeReport report;
+        core::TimePoint due {};
+        core::TimePoint until {};
+    };
+
+    void sendReports(core::TimePoint now);
 
     Context& context;
+    std::vector<LateResult> reports;
 };
 
 } // namespace lagoontiller::control
--- a/source/control/Turns.cpp
+++ b/source/control/Turns.cpp
@@ -446,8 +446,34 @@
     }
 }
 
-void Turns::onPartitionDropped(Call& call)
+void Turns::onProgramEnded(const core::ProgramKey& program, core::TimePoint now)
 {
+    const core::Error ended(ResultCode::ProgramEnded, "the program has ended");
+    const auto unanswered = this->context.calls.select([&](const Call& call) {
+        return call.model() != nullptr && call.program == program
+            && (call.phase == CallPhase::Running || call.phase == CallPhase::AwaitsRecords
+                || call.phase == CallPhase::AwaitsRetry || call.phase == CallPhase::Queued);
+    });
+    for (const auto id : unanswered) {
+        auto& call = *this->context.calls.find(id);
+        if (call.phase == CallPhase::Running) {
+            call.mayHaveRun = true;
+            this->context.dispatch.failed(call.attempt, policy::FailureKind::Cancelled, now);
+            this->context.effects.push_back(
+                CancelGeneration { call.attempt, call.endpoint, call.requestId + "." + std::to_string(call.attempts) });
+        }
+        this->fail(call, ended, now, 0);
+    }
+    this->handle(this->context.turns.forget(program, ended), now);
+}
+
+void Turns::onPartitionDropped(Call& call, core::TimePoint now)
+{
+    if (call.phase == CallPhase::Recording) {
+        // The answer is complete; only its record is in doubt.
+        this->close(call, "uncommitted", now);
+        return;
+    }
     const bool started = call.attempts > 0;
     if (call.phase == CallPhase::Running) {
         this->context.effects.push_back(
--- a/source/control/Turns.h
+++ b/source/control/Turns.h
@@ -22,8 +22,10 @@
     /// \brief Ends waits and starts due attempts.
     void tick(core::TimePoint now);
     void handle(const std::vector<state::TurnEvent>& events, core::TimePoint now);
+    /// \brief Stops the program's turns: what they leave at an engine after the release would stay there.
+    void onProgramEnded(const core::ProgramKey& program, core::TimePoint now);
     /// \brief The call's program has another owner now.
-    void onPartitionDropped(Call& call);
+    void onPartitionDropped(Call& call, core::TimePoint now);
 
 private:
     [[nodiscard]] state::TurnRequest turnRequest(const Call& call) const;
