--- a/source/control/Call.h
+++ b/source/control/Call.h
@@ -82,6 +82,8 @@
     std::uint64_t promptEstimate = 0;
     /// \brief Budget total that becomes durable with the start records; 0 when no chunk is due.
     std::uint64_t chunkTokens = 0;
+    /// \brief The awaited records only name an endpoint; they do not hold up the call while the store is down.
+    bool awaitsEndpointOnly = false;
     std::vector<records::Entry> startEntries;
     nlohmann::json outgoingBody;
     nlohmann::json addedMessages;
@@ -91,6 +93,8 @@
     /// \brief The partition was lost while the call was at an endpoint.
     bool orphaned = false;
     bool repeatable = true;
+    /// \brief An earlier attempt, here or at an owner that is gone, may have run: no refusal may say "not run".
+    bool mayHaveRun = false;
     std::vector<CallId> joined;
     /// \brief Result that waits to be durable.
     services::ServiceAnswer serviceAnswer;
--- a/source/control/Dispatch.cpp
+++ b/source/control/Dispatch.cpp
@@ -123,6 +123,11 @@
     return route;
 }
 
+bool Dispatch::takesWork(policy::EndpointId endpoint) const
+{
+    return this->scheduler.router().endpoints().row(endpoint).spec.state == policy::EndpointState::Live;
+}
+
 tl::expected<void, policy::Refusal> Dispatch::arrive(
     const Call& call, const DispatchRequest& request, core::TimePoint now)
 {
--- a/source/control/Dispatch.h
+++ b/source/control/Dispatch.h
@@ -82,6 +82,8 @@
     /// \brief The endpoints of the VM list, or of the document before the first VM list arrived.
     [[nodiscard]] const std::map<std::string, policy::EndpointId>& endpoints() const noexcept { return this->listed; }
     [[nodiscard]] bool hasVmList() const noexcept { return this->vms.has_value(); }
+    /// \brief Whether the endpoint still takes new work by the VM list.
+    [[nodiscard]] bool takesWork(policy::EndpointId endpoint) const;
     /// \brief Whether the address is in the VM list, live or leaving.
     [[nodiscard]] bool isListed(const std::string& address) const { return this->listed.contains(address); }
     /// \brief Model endpoints that this node used since the last call of this function.
--- a/source/control/ServiceCalls.h
+++ b/source/control/ServiceCalls.h
@@ -43,9 +43,19 @@
     void record(Call& call, std::optional<records::Entry> entry, core::TimePoint now);
     void respond(Call& call, const std::string& commitState, core::TimePoint now);
     void fail(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs = shortRetryMs);
-    void reportLateResult(const Call& call, const services::ServiceAnswer& answer);
+    void reportLateResult(const Call& call, core::TimePoint now);
+
+    /// \brief Result that the present owner of its program has to record.
+    struct LateResult {
+        nodes::wire::OutcomeReport report;
+        core::TimePoint due {};
+        core::TimePoint until {};
+    };
+
+    void sendReports(core::TimePoint now);
 
     Context& context;
+    std::vector<LateResult> reports;
 };
 
 } // namespace lagoontiller::control
--- a/source/control/Turns.cpp
+++ b/source/control/Turns.cpp
@@ -34,6 +34,13 @@
     return policy::FailureKind::Crashed;
 }
 
+/// \brief False when the request certainly did not run: it never left, or the engine refused it.
+bool mayHaveRun(const engines::EngineFailed& failure)
+{
+    const bool refused = failure.status == 429 || failure.status == 503;
+    return !refused && failure.kind != http::FailureKind::NotConnected;
+}
+
 std::string serviceOfModel(const document::Document& document, const std::string& model)
 {
     for (const auto& service : document.services()) {
@@ -110,8 +117,13 @@
         call.reservation = std::get<state::SpendNow>(decision).reservation;
     }
     call.startEntries = std::move(*entries);
-    call.phase = CallPhase::Queued;
     this->context.dispatch.resumed(cacheKey(call.program), now);
+    this->enqueue(call, now);
+}
+
+void Turns::enqueue(Call& call, core::TimePoint now)
+{
+    call.phase = CallPhase::Queued;
     const auto admitted = this->context.dispatch.arrive(call, this->dispatchRequest(call), now);
     if (!admitted)
         this->fail(call, admitted.error().error, now, retryMs(admitted.error().retryAfter));
@@ -162,6 +174,7 @@
             call, { ResultCode::StoreUnavailable, "the budget cannot be reserved while the store is down" }, now);
         return;
     }
+    call.awaitsEndpointOnly = call.startEntries.size() == 1 && call.startEntries.front().has_endpoint_used();
     const Purpose purpose = mustWait ? Purpose(StartRecorded { call.id }) : Purpose(Unattended {});
     const auto appended
         = this->context.durable.append(call.program, std::exchange(call.startEntries, {}), purpose, now);
@@ -191,7 +204,17 @@
     if (call.chunkTokens > 0)
         this->context.budgets.onCommitted(call.program, call.chunkTokens);
     call.chunkTokens = 0;
-    this->send(call);
+    // The endpoint was chosen before the commit, which takes seconds when the store is slow.
+    if (this->context.dispatch.takesWork(call.destination.endpoint))
+        this->send(call);
+    else
+        this->requeue(call, now);
+}
+
+void Turns::requeue(Call& call, core::TimePoint now)
+{
+    this->context.dispatch.cancel(call.id, now);
+    this->enqueue(call, now);
 }
 
 void Turns::send(Call& call)
@@ -304,7 +327,8 @@
 void Turns::onFailed(const GenerationFailed& event, core::TimePoint now)
 {
     const auto kind = policyKind(event.failure);
-    const auto outcome = this->context.dispatch.failed(event.attempt, kind, core::RunState::MayHaveRun, now);
+    const auto ran = mayHaveRun(event.failure) ? core::RunState::MayHaveRun : core::RunState::NotRun;
+    const auto outcome = this->context.dispatch.failed(event.attempt, kind, ran, now);
     if (outcome.notice)
         this->context.effects.push_back(SpreadPoisonNotice { *outcome.notice });
     auto* call = this->context.calls.findAttempt(event.attempt);
@@ -323,6 +347,7 @@
         this->fail(*call, { ResultCode::EndpointRefused, message }, now, 0);
         return;
     }
+    call->mayHaveRun = call->mayHaveRun || mayHaveRun(event.failure);
     call->text = event.text;
     if (!outcome.retryAt) {
         const core::Error unknown(ResultCode::EndpointFailed, "the endpoint failed", core::RunState::MayHaveRun);
@@ -426,22 +451,52 @@
 void Turns::tick(core::TimePoint now)
 {
     this->handle(this->context.turns.tick(now), now);
-    const auto due
-        = this->context.calls.select([&](const Call& call) { return call.model() != nullptr && call.due <= now; });
+    const bool storeDown = !this->context.durable.storeAvailable();
+    const auto due = this->context.calls.select([&](const Call& call) {
+        const bool released = storeDown && call.phase == CallPhase::AwaitsRecords && call.awaitsEndpointOnly;
+        return call.model() != nullptr && (call.due <= now || released);
+    });
     for (const auto id : due) {
         auto* call = this->context.calls.find(id);
         if (call == nullptr)
             continue;
         if (call->phase == CallPhase::Recording)
             this->close(*call, "pending", now);
+        else if (call->phase == CallPhase::AwaitsRecords && storeDown && call->awaitsEndpointOnly)
+            this->send(*call);
         else if (call->phase == CallPhase::AwaitsRecords)
             this->fail(*call, { ResultCode::StoreUnavailable, "the store did not answer in time" }, now);
     }
 }
 
+void Turns::onProgramEnded(const core::ProgramKey& program, core::TimePoint now)
+{
+    const core::Error ended(ResultCode::ProgramEnded, "the program has ended");
+    const auto unanswered = this->context.calls.select([&](const Call& call) {
+        return call.model() != nullptr && call.program == program
+            && (call.phase == CallPhase::Running || call.phase == CallPhase::AwaitsRecords
+                || call.phase == CallPhase::Queued);
+    });
+    for (const auto id : unanswered) {
+        auto& call = *this->context.calls.find(id);
+        if (call.phase == CallPhase::Running) {
+            call.mayHaveRun = true;
+            this->context.effects.push_back(
+                CancelGeneration { call.attempt, call.endpoint, call.requestId + "." + std::to_string(call.attempts) });
+        }
+        this->fail(call, ended, now, 0);
+    }
+    this->handle(this->context.turns.forget(program, ended), now);
+}
+
 void Turns::onPartitionDropped(Call& call, core::TimePoint now)
 {
     this->context.dispatch.cancel(call.id, now);
+    if (call.phase == CallPhase::Recording) {
+        // The answer is complete; only its record is in doubt.
+        this->close(call, "uncommitted", now);
+        return;
+    }
     const bool started = call.attempts > 0;
     if (call.phase == CallPhase::Running) {
         this->context.effects.push_back(
--- a/source/control/Turns.h
+++ b/source/control/Turns.h
@@ -26,6 +26,8 @@
     /// \brief Ends waits and starts due attempts.
     void tick(core::TimePoint now);
     void handle(const std::vector<state::TurnEvent>& events, core::TimePoint now);
+    /// \brief Stops the program's turns: what they leave at an engine after the release would stay there.
+    void onProgramEnded(const core::ProgramKey& program, core::TimePoint now);
     /// \brief The call's program has another owner now.
     void onPartitionDropped(Call& call, core::TimePoint now);
 
@@ -35,6 +37,9 @@
     void run(Call& call, core::TimePoint now);
     void join(Call& call, const std::string& runningRequest);
     void replay(Call& call, const state::StoredTurn& turn);
+    void enqueue(Call& call, core::TimePoint now);
+    /// \brief Asks for another endpoint before anything was sent to the chosen one.
+    void requeue(Call& call, core::TimePoint now);
     void send(Call& call);
     void onToolPause(const Call& call, const engines::EngineFinished& result, core::TimePoint now);
     void fail(Call& call, const core::Error& error, core::TimePoint now, std::uint64_t retryAfterMs = shortRetryMs);
