--- a/source/command/ApplyCommand.cpp
+++ b/source/command/ApplyCommand.cpp
@@ -152,7 +152,7 @@
     cxxopts::Options options("lagoontiller apply", "Check a document and accept it as the next version (- for stdin)");
     options.add_options()("file", "Document to accept", cxxopts::value<std::string>())("base",
         "Version that the file was made from; 0 for the first document",
-        cxxopts::value<std::uint64_t>())("author", "Name for the history", cxxopts::value<std::string>());
+        cxxopts::value<std::string>())("author", "Name for the history", cxxopts::value<std::string>());
     addNodeOptions(options);
     options.parse_positional("file");
     options.positional_help("FILE");
--- a/source/operators/ConsoleDrafts.cpp
+++ b/source/operators/ConsoleDrafts.cpp
@@ -80,7 +80,11 @@
     const auto show = [exchange](const Draft& draft, const Html& notes) {
         Html html;
         html.add(notes).add(draftForm(draft, nullptr, { "deployment" }, exchange.session));
-        html.element("h2", "Or start from a text").add(importForm("", exchange.session));
+        html.open("details", draft.base == 0 ? Attributes { { "open", "" } } : Attributes {});
+        html.element("summary", "Replace the whole document by a text");
+        html.element(
+            "p", "The text replaces all values of the form above. A preview follows.", { { "class", "help" } });
+        html.add(importForm("", exchange.session)).close("details");
         sendPage(exchange.response, 200, page("Edit document", Place::Edit, exchange.session, html));
     };
     document::Faults none;
--- a/source/operators/StatusPage.cpp
+++ b/source/operators/StatusPage.cpp
@@ -170,7 +170,8 @@
         html.add(table({ "program", "customer", "class", "started", "turns", "calls used", "tokens used" }, oldest));
     }
     Rows phases;
-    for (const auto& [phase, count] : status.value("call_phases", json::object()).items())
+    const auto callPhases = status.value("call_phases", json::object());
+    for (const auto& [phase, count] : callPhases.items())
         phases.push_back({ textCell(phase), numberCell(count.is_number() ? count.get<double>() : 0) });
     if (!phases.empty())
         html.element("h3", "Calls under way here").add(table({ "phase", "calls" }, phases));
--- a/source/operators/StyleSheet.cpp
+++ b/source/operators/StyleSheet.cpp
@@ -53,6 +53,7 @@
 textarea { min-height: 14rem; font-family: ui-monospace, monospace; font-size: .9rem; }
 .help { color: var(--quiet); font-size: .85rem; margin: .15rem 0 0; overflow-wrap: anywhere; }
 .problem { color: var(--bad); font-size: .9rem; margin: .2rem 0 0; overflow-wrap: anywhere; }
+details { margin: 1.6rem 0; } summary { cursor: pointer; color: var(--accent); }
 .narrow { max-width: 26rem; }
 .table { overflow-x: auto; }
 table { border-collapse: collapse; width: 100%; background: var(--paper); }
--- a/source/operators/Tables.cpp
+++ b/source/operators/Tables.cpp
@@ -22,8 +22,10 @@
 {
     Html html;
     html.open("div", { { "class", "table" } }).open("table").open("thead").open("tr");
-    for (const auto& head : heads)
-        html.element("th", head);
+    for (std::size_t column = 0; column < heads.size(); ++column) {
+        const bool isNumber = !rows.empty() && rows.front()[column].style.starts_with("number");
+        html.element("th", heads[column], { { "class", isNumber ? "number" : "" } });
+    }
     html.close("tr").close("thead").open("tbody");
     for (const auto& row : rows) {
         html.open("tr");
@@ -44,6 +46,8 @@
     const bool isWhole = std::floor(number) == number;
     const int length = std::snprintf(text.data(), text.size(), isWhole ? "%.0f" : "%.2f", number);
     text.resize(static_cast<std::size_t>(std::max(0, length)));
+    if (!isWhole)
+        text.erase(text.find_last_not_of('0') + 1);
     return text;
 }
 
