--- a/source/operators/Charts.cpp
+++ b/source/operators/Charts.cpp
@@ -69,8 +69,9 @@
         total += bar.count;
         highest = std::max(highest, bar.count);
     }
-    const auto summary = formatNumber(total) + " samples; half within " + rounded(quantileBound(bars, 0.5)) + " " + unit
-        + ", 95% within " + rounded(quantileBound(bars, 0.95)) + " " + unit;
+    const auto summary = formatNumber(total) + (total == 1 ? " sample" : " samples") + "; half within "
+        + rounded(quantileBound(bars, 0.5)) + " " + unit + ", 95% within " + rounded(quantileBound(bars, 0.95)) + " "
+        + unit;
     Html html;
     html.open("figure", { { "class", "chart" } }).open("figcaption").element("b", title).text(" " + summary);
     html.close("figcaption");
--- a/source/operators/StyleSheet.cpp
+++ b/source/operators/StyleSheet.cpp
@@ -58,7 +58,7 @@
 .table { overflow-x: auto; }
 table { border-collapse: collapse; width: 100%; background: var(--paper); }
 th, td { text-align: left; vertical-align: top; padding: .4rem .6rem; border-bottom: 1px solid var(--line);
-  overflow-wrap: anywhere; }
+  overflow-wrap: break-word; }
 th { font-size: .85rem; color: var(--quiet); overflow-wrap: normal; }
 td.number, th.number { text-align: right; font-variant-numeric: tabular-nums; }
 .state-good { color: var(--good); } .state-warn { color: var(--warn); } .state-bad { color: var(--bad); }
@@ -75,7 +75,7 @@
   main { padding: .7rem; }
   .table thead { display: none; }
   .table tr { display: block; border-bottom: 2px solid var(--line); padding: .3rem 0; }
-  .table td, .table td.number { display: block; border: 0; padding: .12rem .6rem; text-align: left; }
+  .table td, .table td.number { display: block; overflow-wrap: anywhere; border: 0; padding: .12rem .6rem; text-align: left; }
   .table td::before { content: attr(data-name) ": "; color: var(--quiet); font-size: .85rem; }
   .table td[data-name=""]::before { content: ""; }
   .table td.none { display: none; }
--- a/source/settings/SettingsSchema.cpp
+++ b/source/settings/SettingsSchema.cpp
@@ -37,8 +37,9 @@
     Field { .key = "operator_allow_remote",
         .type = ValueType::Boolean,
         .defaultValue = "false",
-        .help = "Whether operator_address may be other than loopback. There is no TLS: everyone on the path can read the "
-                "operator key. Use it only on a network that encrypts, and prefer an SSH tunnel to a loopback address." },
+        .help
+        = "Whether operator_address may be other than loopback. There is no TLS: everyone on the path can read the "
+          "operator key. Use it only on a network that encrypts, and prefer an SSH tunnel to a loopback address." },
     address("node_address", "Where other nodes connect (ZeroMQ)."),
     Field {
         .key = "seeds", .type = ValueType::AddressList, .help = "Node addresses that a starting node contacts first." },
