--- a/source/control/Runtime.cpp
+++ b/source/control/Runtime.cpp
@@ -217,8 +217,26 @@
     });
 }
 
+void Runtime::publishNodeTraffic()
+{
+    const auto* counts = this->nodes->counts();
+    if (counts == nullptr)
+        return;
+    const auto publish = [this](const std::string& name, const std::atomic<std::uint64_t>& count) {
+        this->metrics.set(name, {}, static_cast<double>(count.load()));
+    };
+    publish("lagoontiller_node_messages_sent", counts->sent);
+    publish("lagoontiller_node_bytes_sent", counts->sentBytes);
+    publish("lagoontiller_node_messages_received", counts->received);
+    publish("lagoontiller_node_bytes_received", counts->receivedBytes);
+    publish("lagoontiller_node_messages_malformed", counts->malformed);
+    publish("lagoontiller_node_probes_dropped", counts->droppedProbes);
+    publish("lagoontiller_node_messages_dropped", counts->droppedOther);
+}
+
 void Runtime::pollVmList()
 {
+    this->publishNodeTraffic();
     if (!this->nodes->pollsVmList()) {
         this->scheduleVmList();
         return;
--- a/source/control/Runtime.h
+++ b/source/control/Runtime.h
@@ -46,6 +46,8 @@
     void scheduleTick();
     void scheduleVmList();
     void pollVmList();
+    /// Once a second, so that the counters cost nothing on the traffic path.
+    void publishNodeTraffic();
     void watchSignals();
     void stop();
 
