--- a/source/nodes/Membership.cpp
+++ b/source/nodes/Membership.cpp
@@ -23,6 +23,8 @@
     , nextProbe(now)
     , nextJoin(now)
     , joinStarted(now)
+    , nextSync(now)
+    , syncDelay(this->settings.syncInterval)
     , listBudgetAt(now)
     , listBudget(this->settings.listBytesBurst)
 {
@@ -88,6 +90,7 @@
     default:
         break;
     }
+    this->requestMissing(envelope, now, effects);
     return effects;
 }
 
@@ -259,6 +262,7 @@
     message.envelope.set_incarnation(this->self.incarnation);
     message.envelope.set_document_version(this->self.documentVersion);
     message.envelope.set_vm_list_version(this->vmListVersion);
+    message.envelope.set_known_members(static_cast<std::uint32_t>(this->members.size() + 1));
     if (message.node.empty())
         return !message.address.empty();
     const auto found = this->members.find(message.node);
--- a/source/nodes/Membership.h
+++ b/source/nodes/Membership.h
@@ -32,9 +32,13 @@
     std::size_t piggybacked = 12;
     /// \brief Random living members added to a message with room, so that lost updates are repaired at constant cost.
     std::size_t refreshed = 2;
-    /// \brief Whole member lists sent to joining nodes, in bytes/s and bytes at once.
-    double listBytesPerSecond = 16'000;
-    double listBytesBurst = 256'000;
+    /// \brief Shortest time between two requests for the members that a better informed peer knows. It doubles up to
+    /// the longest one while the answers bring nothing new.
+    core::Duration syncInterval = std::chrono::milliseconds(500);
+    core::Duration longestSyncInterval = std::chrono::seconds(60);
+    /// \brief Member lists sent to joining and less informed nodes, in bytes/s and bytes at once.
+    double listBytesPerSecond = 8'000;
+    double listBytesBurst = 96'000;
     /// \brief Upper bound on known members, against memory exhaustion by faulty peers.
     std::size_t maxMembers = 8192;
 };
@@ -126,7 +130,10 @@
     void sendJoin(const std::string& node, const std::string& address, MembershipEffects& effects) const;
     void handleJoin(const wire::Envelope& envelope, core::TimePoint now, MembershipEffects& effects);
     void handleJoinReply(const wire::Envelope& envelope, core::TimePoint now, MembershipEffects& effects);
-    [[nodiscard]] bool takeListBudget(core::TimePoint now);
+    void requestMissing(const wire::Envelope& envelope, core::TimePoint now, MembershipEffects& effects);
+    void listHeld(wire::Join& join);
+    [[nodiscard]] std::vector<const Member*> membersFor(const wire::Join& join) const;
+    [[nodiscard]] std::size_t takeListBudget(std::size_t wanted, core::TimePoint now);
 
     Member self;
     MembershipSettings settings;
@@ -149,6 +156,8 @@
     core::TimePoint nextProbe;
     core::TimePoint nextJoin;
     core::TimePoint joinStarted;
+    core::TimePoint nextSync;
+    core::Duration syncDelay;
     core::TimePoint listBudgetAt;
     double listBudget;
     bool joined = false;
--- a/source/nodes/MembershipJoins.cpp
+++ b/source/nodes/MembershipJoins.cpp
@@ -1,6 +1,9 @@
 #include "nodes/Membership.h"
 
+#include "core/Hash.h"
+
 #include <algorithm>
+#include <array>
 
 namespace lagoontiller::nodes {
 
@@ -12,8 +15,11 @@
 /// Without any reply for this long, the node goes on with the members it knows: everyone may have died meanwhile.
 constexpr core::Duration joinLimit = std::chrono::seconds(5);
 
+/// Known members that are asked at the same time.
+constexpr std::size_t joinPeers = 2;
+
 /// Members in a reply when the budget for whole lists is used up.
-constexpr std::size_t sampleSize = 12;
+constexpr std::size_t sampleSize = 6;
 
 /// Attempts per probe interval of all nodes of one side together to reach seeds and dead members of the other side.
 constexpr double retriesPerInterval = 10;
@@ -21,6 +27,18 @@
 /// Size of one member record on the wire, for the list budget.
 constexpr double recordBytes = 90;
 
+/// Known names per word of the bit set in a request. At 8 bits per name about one missing member in 8 looks known; the
+/// salt of the next request is another one.
+constexpr std::size_t namesPerWord = 4;
+constexpr std::size_t wordBits = 32;
+
+/// \brief Word (after the salt) and mask of a name in the bit set of a request.
+std::pair<int, std::uint32_t> placeOf(const std::string& node, std::uint32_t salt, std::size_t words)
+{
+    const auto bit = core::hash64(node, salt) % (words * wordBits);
+    return { static_cast<int>(bit / wordBits) + 1, std::uint32_t { 1 } << (bit % wordBits) };
+}
+
 } // namespace
 
 void Membership::join(core::TimePoint now, MembershipEffects& effects)
@@ -37,15 +55,19 @@
         effects.emplace_back(ViewRefreshed {});
         return;
     }
-    const auto known = this->randomPeers(2, {});
+    const auto isSeed = [&](const std::string& node) {
+        return std::find(seeds.begin(), seeds.end(), this->members.at(node).address) != seeds.end();
+    };
+    auto known = this->randomPeers(joinPeers + seeds.size(), {});
+    std::stable_partition(known.begin(), known.end(), [&](const std::string& node) { return !isSeed(node); });
+    known.resize(std::min(known.size(), joinPeers));
     for (const auto& node : known)
         this->sendJoin(node, this->members.at(node).address, effects);
-    if (known.empty())
-        keepRandom(*this->generator, seeds, seeds.size());
-    else
-        keepRandom(*this->generator, seeds, 1);
-    for (const auto& seed : seeds)
-        this->sendJoin({}, seed, effects);
+    // When all nodes start at once, every node asking all seeds until it has joined cost each seed over 300 KB/s at 780
+    // nodes. One seed is asked first; nodes that know others ask the seeds at a constant rate of all nodes together.
+    if (seeds.empty() || !isDrawn(*this->generator, retriesPerInterval / static_cast<double>(this->order.size() + 1)))
+        return;
+    this->sendJoin({}, seeds[pickIndex(*this->generator, seeds.size())], effects);
 }
 
 void Membership::retryMissing(MembershipEffects& effects)
@@ -83,6 +105,53 @@
         effects.emplace_back(std::move(message));
 }
 
+void Membership::listHeld(wire::Join& join)
+{
+    const auto words = (this->members.size() + namesPerWord) / namesPerWord;
+    const auto salt = static_cast<std::uint32_t>((*this->generator)());
+    join.add_held(salt);
+    for (std::size_t word = 0; word < words; ++word)
+        join.add_held(0);
+    for (const auto& [node, member] : this->members) {
+        const auto [word, mask] = placeOf(node, salt, words);
+        join.set_held(word, join.held(word) | mask);
+    }
+}
+
+void Membership::requestMissing(const wire::Envelope& envelope, core::TimePoint now, MembershipEffects& effects)
+{
+    const auto known = this->members.size() + 1;
+    if (!this->joined || now < this->nextSync || envelope.known_members() <= known)
+        return;
+    const auto sender = this->members.find(envelope.sender());
+    if (sender == this->members.end())
+        return;
+    this->nextSync = now + this->syncDelay;
+    this->syncDelay = std::min(2 * this->syncDelay, this->settings.longestSyncInterval);
+    SendMessage message { sender->first, {}, {} };
+    auto& join = *message.envelope.mutable_join();
+    toWire(this->self, *join.mutable_self());
+    this->listHeld(join);
+    if (this->complete(message))
+        effects.emplace_back(std::move(message));
+}
+
+std::vector<const Member*> Membership::membersFor(const wire::Join& join) const
+{
+    const auto isHeld = [&](const std::string& node) {
+        if (join.held_size() < 2)
+            return false;
+        const auto [word, mask] = placeOf(node, join.held(0), static_cast<std::size_t>(join.held_size()) - 1);
+        return (join.held(word) & mask) != 0;
+    };
+    std::vector<const Member*> result;
+    for (const auto& [node, member] : this->members) {
+        if (node != join.self().node() && !isHeld(node))
+            result.push_back(&member);
+    }
+    return result;
+}
+
 void Membership::handleJoin(const wire::Envelope& envelope, core::TimePoint now, MembershipEffects& effects)
 {
     const auto& joining = envelope.join().self();
@@ -93,50 +162,53 @@
     this->apply(joining, now, effects);
     SendMessage reply { joining.node(), joining.address(), {} };
     auto& list = *reply.envelope.mutable_join_reply();
-    const auto whole = this->takeListBudget(now);
-    list.set_partial(!whole);
     toWire(this->self, *list.add_members());
     const auto held = this->members.find(joining.node());
     if (held != this->members.end() && held->second.state != wire::ALIVE)
         toWire(held->second, *list.add_members());
-    if (whole) {
-        for (const auto& [node, member] : this->members) {
-            if (node != joining.node())
-                toWire(member, *list.add_members());
-        }
-    } else {
-        for (const auto& node : this->randomPeers(sampleSize, joining.node()))
-            toWire(this->members.at(node), *list.add_members());
-    }
+    auto chosen = this->membersFor(envelope.join());
+    const auto affordable = this->takeListBudget(chosen.size(), now);
+    list.set_partial(affordable < chosen.size());
+    if (list.partial())
+        keepRandom(*this->generator, chosen, std::max(affordable, sampleSize));
+    for (const auto* member : chosen)
+        toWire(*member, *list.add_members());
     if (this->complete(reply))
         effects.emplace_back(std::move(reply));
 }
 
 void Membership::handleJoinReply(const wire::Envelope& envelope, core::TimePoint now, MembershipEffects& effects)
 {
-    for (const auto& update : envelope.join_reply().members())
+    const auto before = this->members.size();
+    for (const auto& update : envelope.join_reply().members()) {
+        const bool isKnown = this->members.contains(update.node());
         this->apply(update, now, effects);
+        // The sender has spread it already; queueing whole lists again filled all messages for over a minute at 780
+        // nodes.
+        if (!isKnown && update.node() != envelope.sender())
+            this->queue.erase(update.node());
+    }
+    if (this->members.size() > before) {
+        this->syncDelay = this->settings.syncInterval;
+        this->nextSync = std::min(this->nextSync, now + this->syncDelay);
+    }
     if (this->joined)
         return;
-    if (envelope.join_reply().partial()) {
-        this->nextJoin = std::min(this->nextJoin, now + this->settings.probeTimeout);
+    if (envelope.join_reply().partial())
         return;
-    }
     this->joined = true;
     effects.emplace_back(ViewRefreshed {});
 }
 
-bool Membership::takeListBudget(core::TimePoint now)
+std::size_t Membership::takeListBudget(std::size_t wanted, core::TimePoint now)
 {
     const auto seconds = std::chrono::duration<double>(now - this->listBudgetAt).count();
     this->listBudgetAt = now;
     this->listBudget
         = std::min(this->settings.listBytesBurst, this->listBudget + seconds * this->settings.listBytesPerSecond);
-    const auto cost = std::min(static_cast<double>(this->members.size()) * recordBytes, this->settings.listBytesBurst);
-    if (cost > this->listBudget)
-        return false;
-    this->listBudget -= cost;
-    return true;
+    const auto affordable = std::min(wanted, static_cast<std::size_t>(this->listBudget / recordBytes));
+    this->listBudget -= static_cast<double>(affordable) * recordBytes;
+    return affordable;
 }
 
 } // namespace lagoontiller::nodes
--- a/source/nodes/MembershipProbes.cpp
+++ b/source/nodes/MembershipProbes.cpp
@@ -62,6 +62,10 @@
         auto& request = *envelope.mutable_probe_request();
         request.set_sequence(this->pending->sequence);
         request.set_target(this->pending->target);
+        // While many nodes start, the helper may not know the target yet.
+        const auto target = this->members.find(this->pending->target);
+        if (target != this->members.end())
+            toWire(target->second, *request.add_updates());
         this->attachUpdates(helper, *request.mutable_updates());
         this->send(helper, std::move(envelope), effects);
     }
--- a/source/nodes/UpdateQueue.cpp
+++ b/source/nodes/UpdateQueue.cpp
@@ -7,31 +7,31 @@
 void UpdateQueue::push(const std::string& node)
 {
     this->erase(node);
-    this->counts.emplace(node, 0);
-    this->ordered.emplace(0, node);
+    const auto [found, added] = this->places.emplace(node, Place { 0, ~this->pushes++, node });
+    this->ordered.insert(found->second);
 }
 
 void UpdateQueue::erase(const std::string& node)
 {
-    const auto found = this->counts.find(node);
-    if (found == this->counts.end())
+    const auto found = this->places.find(node);
+    if (found == this->places.end())
         return;
-    this->ordered.erase({ found->second, node });
-    this->counts.erase(found);
+    this->ordered.erase(found->second);
+    this->places.erase(found);
 }
 
 std::vector<std::string> UpdateQueue::take(std::size_t count, std::size_t limit)
 {
     std::vector<std::string> names;
     for (auto next = this->ordered.begin(); next != this->ordered.end() && names.size() < count; ++next)
-        names.push_back(next->second);
+        names.push_back(std::get<std::string>(*next));
     for (const auto& node : names) {
-        const auto found = this->counts.find(node);
-        this->ordered.erase({ found->second, node });
-        if (++found->second >= limit)
-            this->counts.erase(found);
+        const auto found = this->places.find(node);
+        this->ordered.erase(found->second);
+        if (++std::get<0>(found->second) >= limit)
+            this->places.erase(found);
         else
-            this->ordered.emplace(found->second, node);
+            this->ordered.insert(found->second);
     }
     return names;
 }
--- a/source/nodes/UpdateQueue.h
+++ b/source/nodes/UpdateQueue.h
@@ -1,15 +1,18 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 namespace lagoontiller::nodes {
 
-/// \brief Names of members whose records are still to be piggybacked, least transmitted first.
+/// \brief Names of members whose records are still to be piggybacked, least transmitted first, then newest first.
+///
+/// While hundreds of nodes join, a refutation must not wait behind their records until its suspicion ends.
 class UpdateQueue {
 public:
     /// \brief Queues the member's record anew: its transmission count starts at 0.
@@ -19,11 +22,15 @@
     /// \brief Takes up to `count` names and counts one transmission for each; those at `limit` leave the queue.
     [[nodiscard]] std::vector<std::string> take(std::size_t count, std::size_t limit);
 
-    [[nodiscard]] std::size_t size() const noexcept { return this->counts.size(); }
+    [[nodiscard]] std::size_t size() const noexcept { return this->places.size(); }
 
 private:
-    std::map<std::string, std::size_t> counts;
-    std::set<std::pair<std::size_t, std::string>> ordered;
+    /// Transmissions, complement of the order of `push`, name.
+    using Place = std::tuple<std::size_t, std::uint64_t, std::string>;
+
+    std::map<std::string, Place> places;
+    std::set<Place> ordered;
+    std::uint64_t pushes = 0;
 };
 
 /// \brief Transmissions per update and node: 2 × ceil(ln(n + 1)). SWIM's proof needs a multiple of log(n).
