Apply document changes in place

Cause: each received change copied all sections, joined and split the whole text, and took its digest twice. Change: sections are replaced in place and restored when the digest differs or a text does not split into exactly the named section; the text is joined and its digest taken once.

--- a/source/nodes/DocumentSpread.cpp
+++ b/source/nodes/DocumentSpread.cpp
@@ -26,24 +26,31 @@
 {
     DocumentEffects effects;
     if (version > this->spread.held())
-        this->adopt(version, DocumentSections(text), {}, peers, effects);
+        this->replace(version, DocumentSections(text), {}, peers, effects);
     return effects;
 }
 
-void DocumentSpread::adopt(std::uint64_t version, DocumentSections next, const std::string& from,
+void DocumentSpread::replace(std::uint64_t version, DocumentSections next, const std::string& from,
     const std::vector<std::string>& peers, DocumentEffects& effects)
+{
+    auto headers = next.changesSince(this->sections);
+    this->sections = std::move(next);
+    auto text = this->sections.canonicalText();
+    this->digest = core::digestHex(text);
+    this->adopt(version, std::move(headers), std::move(text), from, peers, effects);
+}
+
+void DocumentSpread::adopt(std::uint64_t version, std::set<std::string> headers, std::string text,
+    const std::string& from, const std::vector<std::string>& peers, DocumentEffects& effects)
 {
     const auto base = this->spread.held();
     if (!this->spread.raise(version))
         return;
     if (base != 0)
-        this->history.push_back(Change { base, version, next.changesSince(this->sections) });
+        this->history.push_back(Change { base, version, std::move(headers) });
     if (this->history.size() > maxHistory)
         this->history.pop_front();
-    this->sections = std::move(next);
     this->needsWhole = false;
-    auto text = this->sections.canonicalText();
-    this->digest = core::digestHex(text);
     effects.emplace_back(DocumentAdopted { version, std::move(text) });
     auto update = this->updateSince(base);
     if (update.ByteSizeLong() > this->spread.limits().maxPushBytes) {
@@ -109,27 +116,67 @@
     // Changes since a version that is not held here cannot be applied; the request that follows names the held one.
     if (isPartial && update.base_version() != this->spread.held())
         return;
-    DocumentSections next;
     if (isPartial) {
-        next = this->sections;
-        for (const auto& section : update.sections()) {
-            if (section.removed() || section.header().size() > maxHeaderBytes)
-                next.remove(section.header());
-            else
-                next.replace(section.header(), section.text());
+        this->applySections(sender, update, peers, effects);
+        return;
+    }
+    DocumentSections next(update.text());
+    if (core::digestHex(next.canonicalText()) == update.digest())
+        this->replace(update.version(), std::move(next), sender, peers, effects);
+    else
+        this->reject(sender, update);
+}
+
+// Replaces the sections in place and undoes this when the digest differs, so that a change costs neither a copy nor a
+// new split of the whole document.
+void DocumentSpread::applySections(const std::string& sender, const wire::DocumentUpdate& update,
+    const std::vector<std::string>& peers, DocumentEffects& effects)
+{
+    std::map<std::string, std::optional<std::string>> earlier;
+    bool isWellFormed = true;
+    for (const auto& section : update.sections()) {
+        const auto* held = this->sections.find(section.header());
+        earlier.emplace(section.header(), held == nullptr ? std::nullopt : std::optional(*held));
+        if (section.removed()) {
+            this->sections.remove(section.header());
+            continue;
         }
+        // Only a text that splits into exactly this section keeps the rules of the canonical text.
+        const DocumentSections single(section.text());
+        const auto* text = single.find(section.header());
+        isWellFormed
+            = isWellFormed && section.header().size() <= maxHeaderBytes && text != nullptr && *text == section.text();
+        this->sections.replace(section.header(), section.text());
     }
-    // Splitting anew restores the rules for sections whatever headers the sender named.
-    next = DocumentSections(isPartial ? next.canonicalText() : update.text());
-    if (core::digestHex(next.canonicalText()) != update.digest()) {
-        ++this->rejected;
-        this->needsWhole = isPartial;
-        this->spread.refuse(sender);
-        if (isPartial)
-            this->spread.observe(sender, update.version());
+    auto text = this->sections.canonicalText();
+    if (!isWellFormed || core::digestHex(text) != update.digest()) {
+        for (auto& [header, previous] : earlier) {
+            if (previous)
+                this->sections.replace(header, std::move(*previous));
+            else
+                this->sections.remove(header);
+        }
+        this->reject(sender, update);
         return;
     }
-    this->adopt(update.version(), std::move(next), sender, peers, effects);
+    this->digest = update.digest();
+    std::set<std::string> headers;
+    for (const auto& [header, previous] : earlier) {
+        const auto* held = this->sections.find(header);
+        if (held == nullptr ? previous.has_value() : previous != *held)
+            headers.insert(header);
+    }
+    this->adopt(update.version(), std::move(headers), std::move(text), sender, peers, effects);
+}
+
+void DocumentSpread::reject(const std::string& sender, const wire::DocumentUpdate& update)
+{
+    const bool isPartial = update.base_version() != 0;
+    ++this->rejected;
+    this->needsWhole = isPartial;
+    this->spread.refuse(sender);
+    if (isPartial)
+        this->spread.observe(sender, update.version());
 }
 
 void DocumentSpread::request(core::TimePoint now, DocumentEffects& effects)
--- a/source/nodes/DocumentSpread.h
+++ b/source/nodes/DocumentSpread.h
@@ -5,6 +5,8 @@
 #include "nodes/VersionSpread.h"
 
 #include <deque>
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -52,8 +54,13 @@
         std::set<std::string> headers;
     };
 
-    void adopt(std::uint64_t version, DocumentSections next, const std::string& from,
+    void replace(std::uint64_t version, DocumentSections next, const std::string& from,
         const std::vector<std::string>& peers, DocumentEffects& effects);
+    void adopt(std::uint64_t version, std::set<std::string> headers, std::string text, const std::string& from,
+        const std::vector<std::string>& peers, DocumentEffects& effects);
+    void applySections(const std::string& sender, const wire::DocumentUpdate& update,
+        const std::vector<std::string>& peers, DocumentEffects& effects);
+    void reject(const std::string& sender, const wire::DocumentUpdate& update);
     void apply(const std::string& sender, const wire::DocumentUpdate& update, const std::vector<std::string>& peers,
         DocumentEffects& effects);
     void request(core::TimePoint now, DocumentEffects& effects);
--- a/tests/DocumentUpdateTests.cpp
+++ b/tests/DocumentUpdateTests.cpp
@@ -121,6 +121,39 @@
     EXPECT_EQ(requests[0].envelope.document_request().held_version(), 0U);
 }
 
+// Guards against sections of a refused change that stay in the held text: changed, added, removed, and texts that hold
+// another section than their header names.
+TEST(DocumentUpdate, RefusedChangeLeavesTheTextAsItWas)
+{
+    struct Case {
+        std::string header;
+        std::string text;
+        bool isRemoval;
+        std::string digestOf;
+    };
+    const std::string held = "[a]\nx = 1\n[b]\ny = 1\n";
+    const std::string misnamed = "[a]\nx = 1\n[c]\nz = 1\n[b]\ny = 1\n";
+    for (const auto& each :
+        { Case { "a", "[a]\nx = 2\n", false, "other" }, Case { "c", "[c]\nz = 1\n", false, "other" },
+            Case { "b", "", true, "other" }, Case { "aa", "[c]\nz = 1\n", false, misnamed } }) {
+        Generator generator(1);
+        DocumentSpread spread({}, generator);
+        (void)spread.accept(1, held, {});
+        wire::Envelope update;
+        auto& body = *update.mutable_document_update();
+        body.set_version(2);
+        body.set_base_version(1);
+        body.add_sections()->set_header(each.header);
+        body.mutable_sections(0)->set_text(each.text);
+        body.mutable_sections(0)->set_removed(each.isRemoval);
+        body.set_digest(core::digestHex(each.digestOf));
+        EXPECT_EQ(messagesOf(spread.handle(from("b", 2, update), peers, start)).size(), 1U);
+        EXPECT_EQ(spread.version(), 1U);
+        EXPECT_EQ(spread.rejectedCount(), 1U);
+        EXPECT_EQ(spread.text(), held) << each.header;
+    }
+}
+
 // Guards against an old version that is applied.
 TEST(DocumentUpdate, OlderVersionIsIgnored)
 {
