Compare member counts of all nodes before names in the network fake

Cause: DocumentSpreadTests took 93 s on the loaded machine in its case with 780 nodes. The 210 s of virtual time until all knew all took most of it; after the shorter start, perf showed about half of the time in the comparison of 780 names at each node that is done every 50 ms while another node still differs in its count. Change: the counts of all nodes are compared first, then the names as before.

--- a/tests/support/VirtualNetwork.cpp
+++ b/tests/support/VirtualNetwork.cpp
@@ -173,18 +173,20 @@
         if (this->nodes[index].isRunning)
             expected.push_back(nameOf(index));
     }
-    for (const auto& node : this->nodes) {
-        if (!node.isRunning || node.isPaused)
-            continue;
-        if (node.membership->peers().size() + 1 != expected.size())
-            return false;
-        // With equal counts it suffices that every expected node is a living member.
-        const auto isSame = std::all_of(
+    // All counts first: comparing names while one count differs took half of the time of a test with 780 nodes.
+    const auto takesPart = [](const VirtualNode& node) { return node.isRunning && !node.isPaused; };
+    const auto isCountSame
+        = [&](const VirtualNode& node) { return node.membership->peers().size() + 1 == expected.size(); };
+    // With equal counts it suffices that every expected node is a living member.
+    const auto isSame = [&](const VirtualNode& node) {
+        return std::all_of(
             expected.begin(), expected.end(), [&](const std::string& name) { return node.membership->isLiving(name); });
-        if (!isSame)
-            return false;
-    }
-    return true;
+    };
+    return std::all_of(this->nodes.begin(), this->nodes.end(), [&](const VirtualNode& node) {
+        return !takesPart(node) || isCountSame(node);
+    }) && std::all_of(this->nodes.begin(), this->nodes.end(), [&](const VirtualNode& node) {
+        return !takesPart(node) || isSame(node);
+    });
 }
 
 void VirtualNetwork::resetTraffic()
