--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -7,7 +7,6 @@
 #include "document/Document.h"
 #include "nodes/DocumentSpread.h"
 #include "nodes/Membership.h"
-#include "policy/HealthTracker.h"
 #include "policy/PoisonLedger.h"
 #include "policy/Router.h"
 #include "state/CommitStream.h"
@@ -231,7 +230,6 @@
     std::vector<Point> points;
     for (const std::size_t count : { 575, 1'150, 2'300 }) {
         policy::Router router;
-        policy::HealthTracker health;
         const core::TimePoint now { std::chrono::seconds(100) };
         const auto bytes = heapOf<policy::Router>(router, [&](auto& filled) {
             for (std::size_t index = 0; index < count; ++index) {
