Send each chunk of a stand-in at once

Cause: the stand-ins' server left Nagle's algorithm on. A token's chunk waited for the acknowledgement of the one before, which the receiving kernel delays by about 40 ms when its connection has been reused.

Ruled out: the node sets TCP_NODELAY towards callers and engines, and its threads are not busy (1 tick of CPU in 3 s).

--- a/standins/HttpServer.cpp
+++ b/standins/HttpServer.cpp
@@ -182,6 +182,9 @@
                       .handle_request_timeout(connectionLimit)
                       .write_http_response_timelimit(connectionLimit)
                       .buffer_size(16 * 1024)
+                      // Engines send each token at once; with Nagle's algorithm it would wait for the delayed
+                      // acknowledgement of the one before, about 40 ms.
+                      .socket_options_setter([](auto& options) { options.set_option(asio::ip::tcp::no_delay(true)); })
                       .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
                           this->address.second = acceptor.local_endpoint().port();
                       })
