--- a/scripts/support/deployment.py
+++ b/scripts/support/deployment.py
@@ -124,7 +124,8 @@
         return pair.stdout + operator.stdout
 
     def start_entry(self, index, name, vm, keys):
-        seeds = ", ".join(self.at(NODE_PORTS + other) for other in range(len(self.entries)) if other != index)
+        others = [self.at(NODE_PORTS + other) for other in range(len(self.entries)) if other != index]
+        seeds = f"seeds = {', '.join(others)}" if others else ""
         settings = f"""[node]
 name = {name}
 zone = {vm['zone']}
@@ -132,7 +133,7 @@
 caller_address = {vm['address']}
 operator_address = {self.at(OPERATOR_PORTS + index)}
 node_address = {self.at(NODE_PORTS + index)}
-seeds = {seeds}
+{seeds}
 
 [platform]
 table_address = {self.at(TABLE_PORT)}
