Keep a small budget usable after a takeover

Cause: the first reservation of a program took a chunk of min(20,000, budget) tokens. A takeover counts the whole chunk as spent, so that a program with a budget of up to 20,000 tokens was refused for the rest of its life.

Ruled out: the new owner recovers the record of the chunk, and the program had used nothing yet.

Change: a chunk is at most a fifth of the budget; larger budgets keep chunks of 20,000.

--- a/source/state/BudgetLedger.cpp
+++ b/source/state/BudgetLedger.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// A takeover may cost a program at most this part of its budget, beyond the work that was in flight.
+constexpr std::uint64_t chunksPerBudget = 5;
+
 BudgetRefused limitReached(std::string what)
 {
     return { core::Error(
@@ -61,7 +64,9 @@
     if (needed <= account->durableTokens) {
         return SpendNow { this->lastReservation };
     }
-    const auto chunked = std::max(needed, account->durableTokens + this->chunkTokens);
+    // After a takeover the whole chunk counts as spent: a chunk as large as the budget would end the program.
+    const auto step = std::min(this->chunkTokens, limits.tokens / chunksPerBudget);
+    const auto chunked = std::max(needed, account->durableTokens + step);
     return CommitChunk { this->lastReservation, std::min(chunked, limits.tokens) };
 }
 
--- a/tests/BudgetLedgerTests.cpp
+++ b/tests/BudgetLedgerTests.cpp
@@ -63,6 +63,18 @@
             core::ResultCode::ProgramLimitReached }),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a first chunk that takes the whole of a small budget, so that a takeover ends the program.
+TEST(BudgetLedger, SmallBudgetSurvivesATakeover)
+{
+    const BudgetLimits small { 1500, 20, 20, std::chrono::hours(1) };
+    BudgetLedger first;
+    first.open(root, small, {}, Arrival::HandedOver, start);
+    const auto reserved = std::get<CommitChunk>(first.reserve(root, 100, WorkKind::Turn, start)).totalTokens;
+    BudgetLedger second;
+    second.open(root, small, { reserved, 0, 0, 0 }, Arrival::Takeover, start);
+    EXPECT_FALSE(std::holds_alternative<BudgetRefused>(second.reserve(root, 100, WorkKind::Turn, start)));
+}
+
 TEST(BudgetLedger, UnknownRootIsRefused)
 {
     EXPECT_TRUE(std::holds_alternative<BudgetRefused>(BudgetLedger().reserve(root, 1, WorkKind::Turn, start)));
