--- a/tests/support/ControlWorld.h
+++ b/tests/support/ControlWorld.h
@@ -44,6 +44,8 @@
     static constexpr core::Duration hop = std::chrono::milliseconds(2);
     /// \brief Time after which the others see that a node is dead or paused.
     static constexpr core::Duration detection = std::chrono::seconds(3);
+    /// \brief Forwarded calls end after this time without a message; the value is that of nodes::ForwardStreams.
+    static constexpr core::Duration idleLimit = std::chrono::seconds(120);
 
     explicit ControlWorld(std::size_t nodes = 3, std::uint64_t seed = 1, ControlDocumentValues values = {});
 
--- a/tests/support/ControlWorldEffects.cpp
+++ b/tests/support/ControlWorldEffects.cpp
@@ -172,6 +172,10 @@
     std::erase_if(this->forwards, [](const auto& each) { return each->over; });
     this->forwards.push_back(forward);
     const auto target = this->hosts[forward->to].process;
+    this->at(idleLimit, [this, forward, target = std::weak_ptr(target)] {
+        if (target.expired())
+            this->endForward(forward, false);
+    });
     if (!target)
         return; // The message is lost; the forward fails when membership sees that the node is gone.
     this->deliver(forward->to, target, hop, [this, forward, request = effect.request](Process&) {
