Charge the delay of others for a recomputation and bound new programs by engine memory

Cause: a call that left its cache was charged its own recomputation only, although the engine's other calls wait for it, too; and new programs were accepted until the caches of started ones were evicted.

--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -5,7 +5,8 @@
 #include <string>
 
 /// \brief Measures the decisions of package `policy` in virtual time. Arguments: the directory of the recorded traces
-/// and optionally `elements` (policy elements switched off or on) or `forecasts`. Without it the table and the targets
+/// and optionally `ours` (our policy only), `elements` (policy elements
+/// switched off or on) or `forecasts`. Without it the table and the targets
 /// are printed, and the exit status is 1 when our policy violated a condition.
 int main(int argc, char** argv)
 {
@@ -17,6 +18,10 @@
             runElements(traces);
             return 0;
         }
+        if (part == "ours") {
+            runOurs(traces);
+            return 0;
+        }
         if (part == "forecasts") {
             runForecasts();
             return 0;
--- a/bench/policy/Decider.h
+++ b/bench/policy/Decider.h
@@ -56,14 +56,13 @@
     bool spread = true;
     bool queueOrder = true;
     bool admission = true;
+    bool memory = true;
     bool retry = true;
     bool hedging = false;
     bool ejection = true;
     bool poison = true;
     bool pauseCache = true;
     bool kvMove = false;
-    /// \brief Correction of others' load by smoothing: 0 last value, 1 plain, 2 burst-aware.
-    int forecast = 0;
 };
 
 struct DeciderSettings {
--- a/bench/policy/Elements.cpp
+++ b/bench/policy/Elements.cpp
@@ -27,6 +27,7 @@
     add("no spread", std::nullopt, [](Variant& v) { v.spread = false; });
     add("no queue order", std::nullopt, [](Variant& v) { v.queueOrder = false; });
     add("no admission bound", std::nullopt, [](Variant& v) { v.admission = false; });
+    add("no memory bound", std::nullopt, [](Variant& v) { v.memory = false; });
     add("hedging", std::nullopt, [](Variant& v) { v.hedging = true; });
     add("no pause decision", std::nullopt, [](Variant& v) { v.pauseCache = false; });
     add("KV move", std::nullopt, [](Variant& v) { v.kvMove = true; });
--- a/bench/policy/OurDecider.cpp
+++ b/bench/policy/OurDecider.cpp
@@ -6,6 +6,7 @@
 
 policy::SchedulerOptions optionsFor(const DeciderSettings& settings)
 {
+    constexpr double unbounded = 1e9;
     policy::SchedulerOptions options;
     const Variant& variant = settings.variant;
     options.router.slots = static_cast<double>(settings.slots);
@@ -13,8 +14,9 @@
     options.retry.hedging = variant.hedging;
     options.retry.maximumAttempts = variant.retry ? options.retry.maximumAttempts : 1;
     options.kvMove = variant.kvMove;
-    options.admission.queue = variant.admission ? 40 : 1'000'000;
+    options.admission.queue = variant.admission ? 8 : 1'000'000;
     options.queue.capacity = 1'000'000;
+    options.newProgramMemory = variant.memory ? options.newProgramMemory : unbounded;
     if (!variant.ejection) {
         constexpr int never = 1'000'000'000;
         options.health.silences = never;
--- a/bench/policy/Report.h
+++ b/bench/policy/Report.h
@@ -44,6 +44,8 @@
 /// \brief Prints the table of all rows and the targets of docs/design.md, section 7. Returns whether no condition was
 /// violated by our policy and all its programs ended.
 [[nodiscard]] bool runTable(const std::string& traces);
+/// \brief Prints our policy at each load, without baselines and faults.
+void runOurs(const std::string& traces);
 /// \brief Prints our policy with single elements switched off or on.
 void runElements(const std::string& traces);
 /// \brief Prints the mean absolute error of the load forecasts on the load shape of the cited paper's table 2.
--- a/bench/policy/Table.cpp
+++ b/bench/policy/Table.cpp
@@ -112,6 +112,20 @@
 
 } // namespace
 
+void runOurs(const std::string& traces)
+{
+    printHeader();
+    for (const char* name : { "nilavilakku", "minningarskjoldur" }) {
+        const Deployment deployment = readDeployment(traces, name);
+        for (const double load : { normalLoad, 1.0, overload }) {
+            RunSettings settings;
+            settings.load = load;
+            const std::string title = std::string(name) + ", load " + std::to_string(load);
+            printRow(title, "ours", measure(deployment, settings));
+        }
+    }
+}
+
 bool runTable(const std::string& traces)
 {
     bool clean = true;
--- a/source/policy/Router.cpp
+++ b/source/policy/Router.cpp
@@ -295,7 +295,10 @@
         }
         const double recompute = (request.promptTokens - candidate.cached) / this->options.prefillTokensPerMs;
         candidate.firstTokenMs = candidate.queueMs + recompute * this->loads[candidate.endpoint].slowdown + distance;
-        candidate.cost = request.latencyWeight * candidate.firstTokenMs + request.wastedCacheWeight * wasted;
+        // A recomputation also delays the calls that run beside it and those behind it.
+        const double delayed = this->options.delayedCalls * recompute;
+        candidate.cost
+            = request.latencyWeight * (candidate.firstTokenMs + delayed) + request.wastedCacheWeight * wasted;
     }
 }
 
--- a/source/policy/Router.h
+++ b/source/policy/Router.h
@@ -22,6 +22,8 @@
     double msPerGeneratedToken = 36;
     /// \brief Part of `msPerGeneratedToken` that every other running call adds.
     double batchSlowdown = 0.05;
+    /// \brief Other calls of an endpoint that wait while it recomputes a prompt.
+    double delayedCalls = 8;
     /// \brief Calls that an endpoint serves at once.
     double slots = 16;
     /// \brief Mean time of a call of a service of which none has finished yet.
--- a/source/policy/Scheduler.cpp
+++ b/source/policy/Scheduler.cpp
@@ -5,6 +5,12 @@
 
 namespace lagoontiller::policy {
 
+namespace {
+
+constexpr core::Duration memoryRetry = std::chrono::seconds(1);
+
+} // namespace
+
 Scheduler::Scheduler(SchedulerOptions options, std::uint64_t seed)
     : options(std::move(options))
     , random(seed)
@@ -61,6 +67,12 @@
             Refusal { core::Error(core::ResultCode::RequestIsolated, "the request crashes its endpoints"), {} });
     }
     this->updateSlots(service);
+    if (!this->hasMemory(service, call)) {
+        service.admission.refused(call.program, now);
+        return tl::unexpected<Refusal>(Refusal {
+            core::Error(core::ResultCode::QueueFull, "the engines have no memory for the cache of a new program"),
+            memoryRetry });
+    }
     const auto admitted
         = service.admission.admit({ call.customer, call.program, call.urgency.priority, call.started }, now);
     if (!admitted) {
@@ -79,6 +91,9 @@
         }
     }
     service.retries.addCall();
+    if (!call.route.model.empty() && !this->programs.contains(call.program)) {
+        this->setTokens(call.program, call.route.service, call.route.promptTokens);
+    }
     Call& added
         = this->calls
               .insert_or_assign(call.id, Call { call, admitted->arrived, {}, {}, {}, core::RunState::NotRun, false })
@@ -138,7 +153,7 @@
     Service& added = this->services
                          .emplace(name,
                              Service { Admission(this->options.admission), RetryBudget(this->options.retryRatio), {},
-                                 {}, 0, std::nullopt })
+                                 {}, 0, {}, 0, 0, std::nullopt })
                          .first->second;
     for (const auto& [customer, limits] : this->customers) {
         added.admission.setCustomer(customer, limits);
@@ -174,6 +189,26 @@
     service.admission.setSlots(static_cast<std::uint32_t>(std::ceil(std::max({ 1.0, share, unused }))));
 }
 
+bool Scheduler::hasMemory(const Service& service, const ScheduledCall& call) const
+{
+    if (call.started || call.route.model.empty() || service.memoryTotal == 0) {
+        return true;
+    }
+    const double share
+        = static_cast<double>(service.memoryTotal) / this->options.router.deciders * this->options.newProgramMemory;
+    return service.programTokens == 0 || static_cast<double>(service.programTokens + call.route.promptTokens) <= share;
+}
+
+void Scheduler::setTokens(std::uint64_t id, const std::string& serviceName, std::uint32_t tokens)
+{
+    Program& program = this->programs[id];
+    program.service = serviceName;
+    Service& found = this->service(serviceName);
+    found.programTokens += tokens;
+    found.programTokens -= program.tokens;
+    program.tokens = tokens;
+}
+
 void Scheduler::enqueue(const Call& call, Service& service, std::vector<DroppedCall>& dropped)
 {
     const ScheduledCall& request = call.request;
@@ -322,6 +357,9 @@
 {
     const auto entry = this->calls.find(id);
     const ScheduledCall& request = entry->second.request;
+    if (!request.started && entry->second.tried.empty()) {
+        this->programEnded(request.program);
+    }
     this->service(request.route.service).admission.withdrawn(request.customer, request.program);
     error.ran = entry->second.ran;
     this->calls.erase(entry);
--- a/source/policy/Scheduler.h
+++ b/source/policy/Scheduler.h
@@ -73,6 +73,11 @@
         std::set<EndpointId> serving;
         /// \brief Calls of other nodes on `serving`, from reports.
         double others = 0;
+        /// \brief KV memory of `serving` in tokens, from reports.
+        std::map<EndpointId, std::uint64_t> memory;
+        std::uint64_t memoryTotal = 0;
+        /// \brief Tokens in the caches of the programs that this node runs.
+        std::uint64_t programTokens = 0;
         std::optional<OrderPlanner> planner;
     };
     struct Call {
@@ -98,6 +103,7 @@
         std::optional<EndpointId> endpoint;
         PrefixKey prefix = 0;
         std::uint32_t tokens = 0;
+        std::string service;
         std::string tool;
         core::TimePoint pausedAt {};
     };
@@ -107,6 +113,8 @@
     void follow(EndpointId endpoint, bool serving);
     void updateSlots(Service& service) const;
     void enqueue(const Call& call, Service& service, std::vector<DroppedCall>& dropped);
+    [[nodiscard]] bool hasMemory(const Service& service, const ScheduledCall& call) const;
+    void setTokens(std::uint64_t program, const std::string& service, std::uint32_t tokens);
     void wakeRetries(core::TimePoint now, Step& step);
     void expire(Service& service, core::TimePoint now, Step& step);
     void drain(const std::string& model, Service& service, core::TimePoint now, Step& step);
--- a/source/policy/SchedulerAttempts.cpp
+++ b/source/policy/SchedulerAttempts.cpp
@@ -77,7 +77,7 @@
         program.served += tokens;
         program.endpoint = attempt.endpoint;
         program.prefix = request.route.prefix;
-        program.tokens = usage.promptTokens + usage.completionTokens;
+        this->setTokens(request.program, request.route.service, usage.promptTokens + usage.completionTokens);
         for (auto& [model, queue] : this->service(request.route.service).queues) {
             queue.addService(request.program, tokens);
         }
@@ -137,6 +137,9 @@
         service.others += this->endpointRouter.load(endpoint).others() - before;
     }
     if (report.kvCapacity > 0) {
+        std::uint64_t& memory = service.memory[endpoint];
+        service.memoryTotal += report.kvCapacity - memory;
+        memory = report.kvCapacity;
         this->memoryPressure[endpoint] = static_cast<double>(report.kvUsed) / static_cast<double>(report.kvCapacity);
     }
 }
@@ -185,6 +188,7 @@
     const auto entry = this->programs.find(id);
     if (entry != this->programs.end()) {
         this->endpointRouter.released(entry->second.prefix);
+        this->service(entry->second.service).programTokens -= entry->second.tokens;
         this->programs.erase(entry);
     }
 }
--- a/source/policy/SchedulerTypes.h
+++ b/source/policy/SchedulerTypes.h
@@ -33,6 +33,9 @@
     bool kvMove = false;
     /// \brief Calls sent per slot of the endpoints; the part above 1 keeps slots busy while reports lag.
     double overcommit = 1.1;
+    /// \brief Part of the engines' KV memory, divided among the nodes, up to which this node accepts new programs;
+    /// beyond it the caches of started programs would be evicted.
+    double newProgramMemory = 0.7;
 };
 
 /// \brief A call that asks for an endpoint.
