Scale the charge for recomputation by the service's load and move KV caches by default

Cause: the constant charge outweighed billed bytes on an idle service (RoutingTests, BilledBytesOutweighRemoteCache). Change: the charge is scaled by the mean load of the service; kvMove is on.

--- a/bench/policy/Decider.h
+++ b/bench/policy/Decider.h
@@ -62,7 +62,7 @@
     bool ejection = true;
     bool poison = true;
     bool pauseCache = true;
-    bool kvMove = false;
+    bool kvMove = true;
 };
 
 struct DeciderSettings {
--- a/bench/policy/Elements.cpp
+++ b/bench/policy/Elements.cpp
@@ -30,7 +30,7 @@
     add("no memory bound", std::nullopt, [](Variant& v) { v.memory = false; });
     add("hedging", std::nullopt, [](Variant& v) { v.hedging = true; });
     add("no pause decision", std::nullopt, [](Variant& v) { v.pauseCache = false; });
-    add("KV move", std::nullopt, [](Variant& v) { v.kvMove = true; });
+    add("no KV move", std::nullopt, [](Variant& v) { v.kvMove = false; });
     for (const FaultKind fault : { FaultKind::EndpointCrash, FaultKind::SilentConnections, FaultKind::ZoneLost }) {
         add("default", fault, [](Variant&) {});
         add("no retry", fault, [](Variant& v) { v.retry = false; });
--- a/bench/policy/Faults.cpp
+++ b/bench/policy/Faults.cpp
@@ -80,11 +80,10 @@
         this->after(faultLength, [this] { this->storeDown = false; });
         return;
     case FaultKind::LaggedReports: {
-        const core::Duration usual = this->reportLag;
         this->reportLag = laggedReportLag;
         this->reportLoss = laggedReportLoss;
-        this->after(faultLength, [this, usual] {
-            this->reportLag = usual;
+        this->after(faultLength, [this] {
+            this->reportLag = usualReportLag;
             this->reportLoss = 0;
         });
         return;
--- a/bench/policy/Simulation.h
+++ b/bench/policy/Simulation.h
@@ -11,6 +11,8 @@
 
 namespace lagoontiller::bench {
 
+inline constexpr core::Duration usualReportLag = std::chrono::milliseconds(300);
+
 enum class FaultKind : int {
     EndpointCrash,
     SilentConnections,
@@ -190,7 +192,7 @@
     std::map<policy::CallId, std::size_t> calls;
     policy::CallId lastCall = 0;
     std::size_t open = 0;
-    core::Duration reportLag = std::chrono::milliseconds(300);
+    core::Duration reportLag = usualReportLag;
     double reportLoss = 0;
     bool storeDown = false;
     std::optional<std::size_t> cutRegion;
--- a/source/policy/Router.cpp
+++ b/source/policy/Router.cpp
@@ -282,6 +282,11 @@
         mostCached = std::max(mostCached, candidate.cached);
     }
     const auto bytes = static_cast<double>(request.requestBytes + request.responseBytes);
+    // A recomputation delays the calls that run beside it. The mean over the service is used: with the count of each
+    // endpoint, an empty one would look cheap to calls whose cache is elsewhere.
+    const ServiceLoad& service = this->services[this->table.row(candidates.entries[0].endpoint).service];
+    const double running = service.reporting == 0 ? 0 : service.othersSum / service.reporting;
+    const double delayedCalls = this->options.delayedCalls * std::min(1.0, running / this->options.slots);
     for (std::size_t i = 0; i < candidates.count; ++i) {
         Candidate& candidate = candidates.entries[i];
         const EndpointTable::Row& row = this->table.row(candidate.endpoint);
@@ -295,8 +300,7 @@
         }
         const double recompute = (request.promptTokens - candidate.cached) / this->options.prefillTokensPerMs;
         candidate.firstTokenMs = candidate.queueMs + recompute * this->loads[candidate.endpoint].slowdown + distance;
-        // A recomputation also delays the calls that run beside it and those behind it.
-        const double delayed = this->options.delayedCalls * recompute;
+        const double delayed = delayedCalls * recompute;
         candidate.cost
             = request.latencyWeight * (candidate.firstTokenMs + delayed) + request.wastedCacheWeight * wasted;
     }
--- a/source/policy/Router.h
+++ b/source/policy/Router.h
@@ -22,7 +22,7 @@
     double msPerGeneratedToken = 36;
     /// \brief Part of `msPerGeneratedToken` that every other running call adds.
     double batchSlowdown = 0.05;
-    /// \brief Other calls of an endpoint that wait while it recomputes a prompt.
+    /// \brief Other calls that wait while an endpoint with full slots recomputes a prompt.
     double delayedCalls = 8;
     /// \brief Calls that an endpoint serves at once.
     double slots = 16;
--- a/source/policy/Scheduler.cpp
+++ b/source/policy/Scheduler.cpp
@@ -311,7 +311,8 @@
     const AttemptId id = ++this->lastAttempt;
     const bool isModel = !route.model.empty();
     Assignment assignment { id, request.id, decision.endpoint, decision.cachedTokens,
-        this->timeouts.timeout(route.service, isModel ? TimeoutKind::FirstByte : TimeoutKind::ServiceCall),
+        std::min(request.longestWait,
+            this->timeouts.timeout(route.service, isModel ? TimeoutKind::FirstByte : TimeoutKind::ServiceCall)),
         this->timeouts.timeout(route.service, TimeoutKind::InterToken), this->kvSource(call, decision),
         !call.attempts.empty() };
     if (assignment.kvSource) {
--- a/source/policy/SchedulerTypes.h
+++ b/source/policy/SchedulerTypes.h
@@ -30,7 +30,7 @@
     /// \brief Size of a token's keys and values.
     std::uint64_t kvBytesPerToken = 100'000;
     /// \brief Whether a turn that leaves its cached endpoint may fetch the KV cache from it.
-    bool kvMove = false;
+    bool kvMove = true;
     /// \brief Calls sent per slot of the endpoints; the part above 1 keeps slots busy while reports lag.
     double overcommit = 1.1;
     /// \brief Part of the engines' KV memory, divided among the nodes, up to which this node accepts new programs;
@@ -48,6 +48,9 @@
     /// \brief Whether an earlier turn of the program was answered.
     bool started = false;
     RouteRequest route;
+    /// \brief Bound of the measured time-out (`timeout_ms` of the service): with few samples the estimate is its
+    /// ceiling, and a call on a silent connection would hang for minutes.
+    core::Duration longestWait = std::chrono::seconds(60);
     /// \brief Digest of the content by which a poison request is recognised; empty means not tracked.
     std::string digest;
 };
--- a/tests/SchedulerTests.cpp
+++ b/tests/SchedulerTests.cpp
@@ -93,13 +93,18 @@
     { "FreeSlotSendsAtOnce",
         [] {
             Scheduler scheduler = withEngines(1);
-            return arriveAll(scheduler, 1) + describe(scheduler.next(start));
+            std::string text = arriveAll(scheduler, 1);
+            text += describe(scheduler.next(start));
+            return text;
         },
         "send 1 " },
     { "NoFreeSlotWaits",
         [] {
             Scheduler scheduler = withEngines(1);
-            return arriveAll(scheduler, 2) + describe(scheduler.next(start)) + describe(scheduler.next(start));
+            std::string text = arriveAll(scheduler, 2);
+            text += describe(scheduler.next(start));
+            text += describe(scheduler.next(start));
+            return text;
         },
         "send 1 " },
     { "FreedSlotSendsTheNext",
@@ -143,17 +148,22 @@
         [] {
             Scheduler scheduler = withEngines(1);
             arriveAll(scheduler, 1);
+            std::string text = describe(scheduler.next(start));
             ScheduledCall late = call(2);
             late.urgency.deadline = start + seconds(5);
             static_cast<void>(scheduler.arrive(late, start));
-            return describe(scheduler.next(start)) + describe(scheduler.next(start + seconds(5)));
+            text += describe(scheduler.next(start));
+            text += describe(scheduler.next(start + seconds(5)));
+            return text;
         },
         "send 1 drop 2 " },
     { "LeavingEndpointGetsNothing",
         [] {
             Scheduler scheduler = withEngines(1);
             scheduler.upsert({ "engine0", "models", { "large" }, "zone", "region", EndpointState::Leaving }, start);
-            return arriveAll(scheduler, 1) + describe(scheduler.next(start));
+            std::string text = arriveAll(scheduler, 1);
+            text += describe(scheduler.next(start));
+            return text;
         },
         "" },
     { "RepeatableCallIsRetried", [] { return afterFailure(true, FailureKind::Crashed, core::RunState::MayHaveRun); },
