Follow the lint rules in the console and count the present faults of the settings example

clang-tidy named a copied parameter, unmarked functions, a loop that grows a vector and a session that could not be moved. The expectation is exact again.

--- a/source/command/ApplyCommand.cpp
+++ b/source/command/ApplyCommand.cpp
@@ -40,8 +40,8 @@
 /// \brief One run of the command after its arguments were read.
 class Application {
 public:
-    Application(
-        const cxxopts::Options& options, const cxxopts::ParseResult& parsed, NodeAccess access, std::uint64_t base)
+    Application(const cxxopts::Options& options, const cxxopts::ParseResult& parsed, const NodeAccess& access,
+        std::uint64_t base)
         : options(options)
         , file(parsed["file"].as<std::string>())
         , author(parsed["author"].as<std::string>())
@@ -86,7 +86,7 @@
         return ExitStatus::Success;
     }
 
-    int reportFaults(const json& faults) const
+    [[nodiscard]] int reportFaults(const json& faults) const
     {
         if (this->asJson) {
             printJson({ { "result", "faults" }, { "file", this->file }, { "faults", faults } });
@@ -99,7 +99,7 @@
         return ExitStatus::FaultsFound;
     }
 
-    int reportConflict(const json& answer) const
+    [[nodiscard]] int reportConflict(const json& answer) const
     {
         if (this->asJson) {
             printJson(answer);
--- a/source/operators/AcceptancePages.cpp
+++ b/source/operators/AcceptancePages.cpp
@@ -54,6 +54,7 @@
 Html conflictTable(const std::vector<document::MergeConflict>& conflicts)
 {
     std::vector<std::vector<Cell>> rows;
+    rows.reserve(conflicts.size());
     for (const auto& conflict : conflicts)
         rows.push_back({ textCell(document::format(conflict.mine)), textCell(document::format(conflict.theirs)) });
     return table({ "your change", "their change" }, rows);
--- a/source/operators/Sessions.cpp
+++ b/source/operators/Sessions.cpp
@@ -36,7 +36,7 @@
         this->sessions.erase(std::min_element(this->sessions.begin(), this->sessions.end(),
             [](const auto& left, const auto& right) { return left.second.lastUsed < right.second.lastUsed; }));
     }
-    const Session session { core::randomHex(tokenBytes), core::randomHex(tokenBytes), author, now, now };
+    Session session { core::randomHex(tokenBytes), core::randomHex(tokenBytes), author, now, now };
     this->sessions.emplace(session.id, session);
     return session;
 }
--- a/tests/CheckCommandTests.cpp
+++ b/tests/CheckCommandTests.cpp
@@ -57,7 +57,7 @@
         Session { { REPOSITORY "/examples/nilavilakku.ini" }, 0, REPOSITORY "/examples/nilavilakku.ini: no faults" },
         Session {
             { "--settings", REPOSITORY "/examples/settings.ini" }, 0, REPOSITORY "/examples/settings.ini: no faults" },
-        Session { { REPOSITORY "/examples/settings.ini" }, 2, REPOSITORY "/examples/settings.ini: 12 faults" },
+        Session { { REPOSITORY "/examples/settings.ini" }, 2, REPOSITORY "/examples/settings.ini: 13 faults" },
         Session { { REPOSITORY "/no-such-file" }, 4, "lagoontiller check: cannot read " REPOSITORY "/no-such-file" },
         Session { { REPOSITORY }, 4, "lagoontiller check: cannot read " REPOSITORY }, Session { {}, 1, tryHelp },
         Session { { "a", "b" }, 1, tryHelp }, Session { { "--fast", "a" }, 1, tryHelp },
@@ -69,7 +69,7 @@
     const auto result = run(runCheck, { "--json", REPOSITORY "/examples/settings.ini" });
     const auto json = nlohmann::json::parse(result.output);
     EXPECT_EQ(2, result.status);
-    ASSERT_EQ(12, json.at("faults").size());
+    ASSERT_EQ(13, json.at("faults").size());
     const nlohmann::json expected { { "line", 30 }, { "column", 1 }, { "section", "deployment" },
         { "key", "partitions" }, { "problem", "unknown key" }, { "allowed", "name, currency" }, { "hint", "" } };
     EXPECT_EQ(expected, json.at("faults").at(9));
