Test that a draft of a foreign page is dropped

A page of another origin could send a draft that the console would offer to the operator after the sign-in. The console drops it; the test submits one with and without a session.

--- a/tests/ConsoleTests.cpp
+++ b/tests/ConsoleTests.cpp
@@ -139,6 +139,22 @@
     EXPECT_TRUE(again.has("value=\"Kept name\""));
 }
 
+// Guards against a draft of a foreign page that is offered to the operator as their own.
+TEST_F(Console, DraftOfAForeignPageIsDropped)
+{
+    this->browser.get("/console/edit");
+    this->browser.origin = "http://192.0.2.1";
+    const auto draft = this->browser.hidden;
+    const auto refused = this->browser.submit("/console/draft", { { "csrf", "0" }, { "0.name", "Forged" } });
+    EXPECT_EQ(403, refused.status);
+    EXPECT_FALSE(refused.has("Forged"));
+    this->browser.cookies.clear();
+    this->browser.hidden = draft;
+    const auto ended = this->browser.submit("/console/draft", { { "0.name", "Forged" } });
+    EXPECT_EQ(401, ended.status);
+    EXPECT_FALSE(ended.has("Forged"));
+}
+
 // Guards against forms that a foreign page submits in the operator's name.
 TEST_F(Console, RefusesPostsWithoutTheToken)
 {
--- a/tests/support/Browser.h
+++ b/tests/support/Browser.h
@@ -22,7 +22,8 @@
     using Fields = std::map<std::string, std::string>;
 
     explicit Browser(std::string address)
-        : address(std::move(address))
+        : origin("http://" + address)
+        , address(std::move(address))
     {
     }
 
@@ -48,6 +49,7 @@
 
     std::map<std::string, std::string> cookies;
     std::string cookieAttributes;
+    std::string origin;
     Fields hidden;
 
 private:
@@ -57,8 +59,7 @@
         request.method = method;
         request.url = "http://" + this->address + path;
         request.body = body;
-        request.headers
-            = { { "Origin", "http://" + this->address }, { "Content-Type", "application/x-www-form-urlencoded" } };
+        request.headers = { { "Origin", this->origin }, { "Content-Type", "application/x-www-form-urlencoded" } };
         std::string cookieText;
         for (const auto& [name, value] : this->cookies)
             cookieText += (cookieText.empty() ? "" : "; ") + name + "=" + value;
