Fetch a program's cache from its last engine where the policy asks for it

Cause: the scheduler now moves KV caches by default, and counts them as present at the destination; the server ignored its choice. Change: the runtime exports at the source and imports at the destination before the generation, and generates without the cache when that fails; finished transfers and forwarded calls no longer stay in the runtime's tables.

--- a/source/control/Call.h
+++ b/source/control/Call.h
@@ -71,6 +71,8 @@
     AttemptId attempt = 0;
     int attempts = 0;
     std::string endpoint;
+    /// \brief Endpoint whose cache of the program the current attempt fetches first; empty for none.
+    std::string cacheSource;
     /// \brief Limits of the current attempt.
     core::Duration timeout {};
     core::Duration silence {};
--- a/source/control/Dispatch.cpp
+++ b/source/control/Dispatch.cpp
@@ -154,7 +154,8 @@
     for (const auto& assignment : step.assignments) {
         const auto& address = this->addresses[assignment.endpoint];
         result.push_back({ assignment.call, assignment.attempt,
-            { assignment.endpoint, address, assignment.cachedTokens }, assignment.timeout, assignment.silence });
+            { assignment.endpoint, address, assignment.cachedTokens }, assignment.timeout, assignment.silence,
+            assignment.kvSource ? this->addresses[*assignment.kvSource] : std::string() });
         if (!this->scheduler.router().endpoints().row(assignment.endpoint).spec.models.empty())
             this->recentlyUsed.insert(address);
     }
--- a/source/control/Dispatch.h
+++ b/source/control/Dispatch.h
@@ -39,6 +39,8 @@
     Destination destination;
     core::Duration timeout {};
     core::Duration silence {};
+    /// \brief Endpoint whose cache of the program should be fetched first; empty for none.
+    std::string cacheSource;
 };
 
 /// \brief Endpoints known to this node and the calls that wait for them or run on them.
--- a/source/control/Effects.h
+++ b/source/control/Effects.h
@@ -77,6 +77,8 @@
     AttemptId attempt = 0;
     CallId call = 0;
     engines::EngineRequest request;
+    /// \brief Engine whose cache of the program is fetched first; empty for none.
+    std::string cacheSource;
 };
 
 struct CancelGeneration {
--- a/source/control/Runtime.cpp
+++ b/source/control/Runtime.cpp
@@ -132,8 +132,19 @@
     asio::post(this->context, [this, event = std::move(event)] { this->dispatch(event); });
 }
 
+void Runtime::forgetEnded(const Event& event)
+{
+    if (const auto* finished = std::get_if<GenerationFinished>(&event))
+        this->transfers.erase(finished->attempt);
+    // The answer of the owner goes through the node link from here on.
+    const auto* answered = std::get_if<ForwardAnswered>(&event);
+    if (answered != nullptr && answered->code != static_cast<int>(core::ResultCode::PartitionUnavailable))
+        this->open.erase(answered->call);
+}
+
 void Runtime::dispatch(const Event& event)
 {
+    this->forgetEnded(event);
     auto effects = this->controller->handle(event, core::monotonicNow(), core::unixMilliseconds());
     for (auto& effect : effects)
         std::visit([this](auto& each) { this->perform(std::move(each)); }, effect);
@@ -332,12 +343,30 @@
         }
     };
     auto relay = std::make_shared<Relay>(Relay { *this, effect.attempt, found->second.answer });
-    this->transfers[effect.attempt] = this->engines.generate(
-        effect.request, [relay](const engines::EngineEvent& event) { std::visit(*relay, event); });
+    const auto generate = [this, relay](const Generate& wanted) {
+        this->transfers[wanted.attempt] = this->engines.generate(
+            wanted.request, [relay](const engines::EngineEvent& event) { std::visit(*relay, event); });
+    };
+    if (effect.cacheSource.empty()) {
+        generate(effect);
+        return;
+    }
+    const auto& request = effect.request;
+    this->moving.insert(effect.attempt);
+    this->engines.moveCache(
+        effect.cacheSource, request.endpoint, request.program, [this, effect, generate](bool moved) {
+            // Without the cache the engine computes the prompt itself.
+            this->metrics.add("lagoontiller_cache_moves_total", { { "moved", moved ? "true" : "false" } });
+            asio::post(this->context, [this, effect, generate] {
+                if (this->moving.erase(effect.attempt) > 0)
+                    generate(effect);
+            });
+        });
 }
 
 void Runtime::perform(CancelGeneration effect)
 {
+    this->moving.erase(effect.attempt);
     const auto found = this->transfers.find(effect.attempt);
     if (found != this->transfers.end()) {
         this->client.cancel(found->second);
--- a/source/control/Runtime.h
+++ b/source/control/Runtime.h
@@ -17,6 +17,7 @@
 
 #include <asio.hpp>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace lagoontiller::control {
@@ -38,6 +39,8 @@
 private:
     void post(Event event);
     void dispatch(const Event& event);
+    /// \brief Drops what this object holds for an attempt or call that the event ends.
+    void forgetEnded(const Event& event);
     void onRequest(callers::IncomingRequest request, callers::ResponseStreamPointer response);
     void acceptRequest(callers::IncomingRequest request, callers::ResponseStreamPointer response, bool forwarded);
     void onDocument(const DocumentInForce& document);
@@ -102,6 +105,8 @@
     std::unique_ptr<callers::HttpServer> operatorServer;
     std::unordered_map<CallId, OpenCall> open;
     std::unordered_map<AttemptId, http::RequestId> transfers;
+    /// \brief Attempts whose cache is on its way; they have not been sent.
+    std::set<AttemptId> moving;
     CallId lastCall = 0;
     std::uint64_t vmListVersion = 0;
 };
--- a/source/control/Turns.cpp
+++ b/source/control/Turns.cpp
@@ -157,6 +157,7 @@
     call.destination = assigned.destination;
     call.timeout = assigned.timeout;
     call.silence = assigned.silence;
+    call.cacheSource = assigned.cacheSource;
     const auto* program = this->context.durable.find(call.program);
     const bool known = program != nullptr && program->endpointsUsed.contains(assigned.destination.address);
     if (!known)
@@ -243,7 +244,7 @@
     const auto* service = call.document->service(serviceOfModel(*call.document, model->model));
     const auto limit = std::chrono::milliseconds(service == nullptr ? 0 : service->timeoutMs);
     outgoing.firstByteTimeout = service == nullptr ? call.timeout : std::min<core::Duration>(call.timeout, limit);
-    this->context.effects.push_back(Generate { call.attempt, call.id, std::move(outgoing) });
+    this->context.effects.push_back(Generate { call.attempt, call.id, std::move(outgoing), call.cacheSource });
 }
 
 void Turns::onFirstToken(AttemptId attempt, core::TimePoint now)
--- a/source/engines/EngineClient.cpp
+++ b/source/engines/EngineClient.cpp
@@ -84,6 +84,22 @@
         });
 }
 
+void EngineClient::moveCache(const std::string& source, const std::string& destination, const std::string& program,
+    std::function<void(bool)> handler) const
+{
+    const auto import = [client = &this->client, source, destination, handler](const auto& exported) {
+        const auto body = exported ? json::parse(exported->body, nullptr, false) : json();
+        if (!exported || exported->status != 200 || !body.is_object() || !body.contains("handle")) {
+            handler(false);
+            return;
+        }
+        const json order { { "handle", body["handle"] }, { "source", source } };
+        client->fetch(controlRequest("POST", destination, "/v1/kv/import", order),
+            [handler](const auto& imported) { handler(imported && imported->status == 200); });
+    };
+    this->client.fetch(controlRequest("POST", source, "/v1/kv/export", { { "program", program } }), import);
+}
+
 void EngineClient::order(
     const std::string& endpoint, const json& order, std::function<void(core::Expected<void>)> handler) const
 {
--- a/source/engines/EngineClient.h
+++ b/source/engines/EngineClient.h
@@ -81,6 +81,10 @@
     /// \brief Frees the program's cache; the handler gets true when the engine confirmed.
     void release(const std::string& endpoint, const std::string& program, std::function<void(bool)> handler) const;
     void load(const std::string& endpoint, std::function<void(core::Expected<EngineLoad>)> handler) const;
+    /// \brief Moves the program's cache from one engine to another. The handler runs when the move is over; false when
+    /// the destination has to compute the prompt itself.
+    void moveCache(const std::string& source, const std::string& destination, const std::string& program,
+        std::function<void(bool)> handler) const;
     /// \brief Orders a model load, adapter load or role change; StaleFence when the engine knows a newer fence.
     void order(const std::string& endpoint, const nlohmann::json& order,
         std::function<void(core::Expected<void>)> handler) const;
--- a/tests/support/ControlWorld.h
+++ b/tests/support/ControlWorld.h
@@ -139,6 +139,7 @@
     void on(std::size_t node, const control::ForwardCall& effect);
     void on(std::size_t node, const control::SendToNode& effect);
     void on(std::size_t node, const control::StoreOperation& effect);
+    void on(std::size_t node, const control::SpreadPoisonNotice& effect);
     void on(std::size_t node, const control::Drained& effect);
     [[nodiscard]] callers::ResponseStreamPointer responseTo(const std::shared_ptr<Forward>& forward);
     void passHead(const std::shared_ptr<Forward>& forward, int status, const http::Headers& headers);
--- a/tests/support/ControlWorldEffects.cpp
+++ b/tests/support/ControlWorldEffects.cpp
@@ -149,6 +149,14 @@
     }
 }
 
+void ControlWorld::on(std::size_t node, const control::SpreadPoisonNotice& effect)
+{
+    for (std::size_t index = 0; index < this->hosts.size(); ++index) {
+        if (index != node && this->hosts[index].process)
+            this->post(index, this->hosts[index].process, hop, control::PoisonNoticed { effect.notice });
+    }
+}
+
 void ControlWorld::on(std::size_t node, const control::Drained&)
 {
     this->hosts[node].drained = true;
