Let a draining node end when no node stays

Cause: a node on SIGTERM waited until it had handed over all partitions. When all nodes leave there is no successor, so none of them ended. It could also end before its last records were durable when it owned no partition.

Ruled out: calls under way (the nodes were idle for a minute) and the store, which answered.

Change: without a member that stays, a node ends once its calls are done and its records are durable; its partitions are taken over like those of a dead node.

--- a/source/control/Controller.cpp
+++ b/source/control/Controller.cpp
@@ -3,6 +3,8 @@
 #include "control/Overloaded.h"
 #include "core/Log.h"
 
+#include <algorithm>
+
 namespace lagoontiller::control {
 
 namespace {
@@ -212,8 +214,13 @@
         if (!this->context.calls.hasCallsOf(partition))
             this->context.durable.handOver(partition, successor);
     }
+    // Without a node that stays, nobody can take the partitions over; a later node takes them as those of a dead one.
+    const auto& members = this->context.members;
+    const bool hasSuccessor = std::any_of(members.begin(), members.end(),
+        [&](const Member& member) { return !member.leaving && member.node != this->context.settings.node; });
+    const bool released = !hasSuccessor || this->context.durable.served().empty();
     const bool drained
-        = this->context.draining && this->context.calls.size() == 0 && this->context.durable.served().empty();
+        = this->context.draining && this->context.calls.size() == 0 && !this->context.durable.hasPending() && released;
     if (drained && !this->drainedReported) {
         this->drainedReported = true;
         this->context.effects.push_back(Drained {});
--- a/source/control/DurableState.h
+++ b/source/control/DurableState.h
@@ -81,6 +81,8 @@
     [[nodiscard]] std::vector<core::PartitionId> served() const;
     /// \brief Whether the turn is stored but not yet durable.
     [[nodiscard]] bool isPending(const core::ProgramKey& program) const;
+    /// \brief Whether any appended record is not yet durable.
+    [[nodiscard]] bool hasPending() const noexcept { return !this->tickets.empty(); }
 
     /// \brief Queues records of one program. Errors OwnerChanged and StoreUnavailable mean that nothing was recorded.
     core::Expected<void> append(
