End the entry processes of the demo before its stand-ins

Stand-ins and entry processes were asked to end at the same time, so a node could lose the table before its last records were durable and was then killed after 10 s. A later run now waits for the script of an earlier one as long as that script waits for its processes.

--- a/scripts/support/processes.py
+++ b/scripts/support/processes.py
@@ -39,7 +39,8 @@
             if start_time(pid) != started:
                 continue
             os.kill(pid, signal.SIGTERM)
-            deadline = time.monotonic() + STOP_SECONDS
+            # The script of that run itself waits STOP_SECONDS for its children.
+            deadline = time.monotonic() + 2 * STOP_SECONDS
             while start_time(pid) == started and time.monotonic() < deadline:
                 time.sleep(0.05)
             if start_time(pid) == started:
@@ -69,16 +70,30 @@
         child.wait()
 
     def end_all(self):
-        """Ends entry processes before the stand-ins that they still write to."""
-        for child in reversed(list(self.children.values())):
+        """Ends entry processes first, because they write to the stand-ins until they have ended."""
+        killed = []
+        for last in (False, True):
+            group = {name: child for name, child in self.children.items() if name.endswith("/standins") == last}
+            killed += self.end(group)
+        if killed:
+            print(f"killed after {STOP_SECONDS} s: {' '.join(killed)}")
+        self.children = {}
+        if os.path.exists(self.record):
+            os.unlink(self.record)
+
+    @staticmethod
+    def end(group):
+        """Asks the processes to end, kills those that do not, and returns the names of the killed ones."""
+        for child in group.values():
             if child.poll() is None:
                 child.terminate()
         deadline = time.monotonic() + STOP_SECONDS
-        for child in self.children.values():
+        killed = []
+        for name, child in group.items():
             try:
                 child.wait(max(0.01, deadline - time.monotonic()))
             except subprocess.TimeoutExpired:
                 child.kill()
                 child.wait()
-        if os.path.exists(self.record):
-            os.unlink(self.record)
+                killed.append(name)
+        return killed
