--- a/standins/CarefulCaller.cpp
+++ b/standins/CarefulCaller.cpp
@@ -177,8 +177,8 @@
     const Tries& tries, const ProgramIdentity& program, const std::string& idempotencyKey, CallerOutcome& outcome)
 {
     // The program names the owner of the key; without it the lookup goes to the program of calls without one.
-    ClientRequest request { "GET", tries.address, "/v1/calls/" + encodePathPart(idempotencyKey),
-        this->headers(program), "" };
+    ClientRequest request { "GET", tries.address, "/v1/calls/" + encodePathPart(idempotencyKey), this->headers(program),
+        "" };
     const auto response = this->client.send(request);
     if (!response.complete)
         return Lookup::Unreachable;
--- a/standins/CarefulCaller.h
+++ b/standins/CarefulCaller.h
@@ -53,8 +53,8 @@
     [[nodiscard]] bool fetchTurn(
         const Tries& tries, const ProgramIdentity& program, std::uint64_t number, CallerOutcome& outcome);
     enum class Lookup : int { Result, NotRun, InProgress, Unknown, Unreachable };
-    [[nodiscard]] Lookup lookUpCall(const Tries& tries, const ProgramIdentity& program, const std::string& idempotencyKey,
-        CallerOutcome& outcome);
+    [[nodiscard]] Lookup lookUpCall(
+        const Tries& tries, const ProgramIdentity& program, const std::string& idempotencyKey, CallerOutcome& outcome);
     [[nodiscard]] bool readTurn(const ClientResponse& response, bool stream, CallerOutcome& outcome) const;
 
     EntryList& entries;
