--- a/source/control/Call.h
+++ b/source/control/Call.h
@@ -89,6 +89,8 @@
     std::vector<records::Entry> startEntries;
     nlohmann::json outgoingBody;
     nlohmann::json addedMessages;
+    /// \brief The caller sent another history than the stored one; the turn's messages take its place.
+    bool replacesHistory = false;
     std::string callKey;
     /// \brief Intent of a call that may not be repeated; committed once it has an endpoint.
     std::optional<records::Entry> intent;
--- a/source/control/Context.cpp
+++ b/source/control/Context.cpp
@@ -111,6 +111,20 @@
     this->metrics.add("lagoontiller_calls_total", { { "customer", call.program.customer }, { "outcome", outcome } });
 }
 
+std::uint64_t suggestedRetryMs(core::ResultCode code) noexcept
+{
+    switch (code) {
+    case core::ResultCode::KeyReused:
+    case core::ResultCode::TurnConflict:
+    case core::ResultCode::ProgramEnded:
+    case core::ResultCode::OutcomeUnknown:
+    case core::ResultCode::InvalidField:
+        return 0;
+    default:
+        return shortRetryMs;
+    }
+}
+
 std::string cacheKey(const core::ProgramKey& program)
 {
     return program.customer + "/" + program.program;
--- a/source/control/Context.h
+++ b/source/control/Context.h
@@ -71,6 +71,9 @@
 /// \brief Delay that a refusal suggests for conditions that usually pass within a second.
 inline constexpr std::uint64_t shortRetryMs = 500;
 
+/// \brief Delay for refusals of conditions that pass by themselves; 0 for those that another try does not change.
+[[nodiscard]] std::uint64_t suggestedRetryMs(core::ResultCode code) noexcept;
+
 /// \brief A delay as refusals carry it, rounded up to whole milliseconds.
 [[nodiscard]] inline std::uint64_t retryMs(core::Duration delay)
 {
--- a/source/control/Controller.cpp
+++ b/source/control/Controller.cpp
@@ -3,6 +3,8 @@
 #include "control/Overloaded.h"
 #include "core/Log.h"
 
+#include <algorithm>
+
 namespace lagoontiller::control {
 
 namespace {
@@ -273,8 +275,16 @@
         if (!this->context.calls.hasCallsOf(partition))
             this->context.durable.handOver(partition, successor);
     }
+    this->announceHandOvers();
+    // Without a node that stays, or while the store is down, nothing can be handed over. Once all records are durable,
+    // leaving loses nothing: the partitions are then taken over as those of a dead node.
+    const auto& members = this->context.members;
+    const bool hasSuccessor = std::any_of(members.begin(), members.end(),
+        [&](const Member& member) { return !member.leaving && member.node != this->context.settings.node; });
+    const bool released = this->context.durable.served().empty() || !hasSuccessor
+        || (this->context.draining && now - this->drainStarted > longestHandOver);
     const bool drained
-        = this->context.draining && this->context.calls.size() == 0 && this->context.durable.served().empty();
+        = this->context.draining && this->context.calls.size() == 0 && !this->context.durable.hasPending() && released;
     if (drained && !this->drainedReported) {
         this->drainedReported = true;
         this->context.effects.push_back(Drained {});
@@ -385,6 +395,7 @@
         this->turns.handle(this->context.turns.forget(program, changed), now);
         this->context.ledger.forget(program);
         this->context.budgets.close(state::rootOf(program));
+        this->context.dispatch.released(cacheKey(program));
     }
     this->programs.onPartitionDropped(dropped.programs);
     const auto successor = this->context.durable.ownerOf(dropped.partition);
--- a/source/control/Turns.cpp
+++ b/source/control/Turns.cpp
@@ -86,7 +86,7 @@
                    },
                    [&](const state::JoinTurn& running) { this->join(call, running.requestId); },
                    [&](const state::ReplayTurn& stored) { this->replay(call, stored.turn); },
-                   [&](const state::RefuseTurn& refused) { this->context.refuse(call, refused.error, shortRetryMs); },
+                   [&](const state::RefuseTurn& refused) { this->context.refuse(call, refused.error, suggestedRetryMs(refused.error.code)); },
                },
         decision);
 }
@@ -275,6 +275,7 @@
     finished->set_request_id(call.requestId);
     finished->set_attempt(call.turnAttempt);
     finished->set_endpoint(call.endpoint);
+    finished->set_replaces_history(call.replacesHistory);
     return entry;
 }
 
--- a/source/control/impl/TurnMessages.cpp
+++ b/source/control/impl/TurnMessages.cpp
@@ -22,6 +22,8 @@
         return history;
     for (const auto& [number, turn] : program->turns) {
         auto added = json::parse(turn.messages, nullptr, false);
+        if (turn.replacesHistory)
+            history.messages = json::array();
         if (added.is_array())
             history.messages.insert(history.messages.end(), added.begin(), added.end());
         history.tokens = turn.usage.charged();
@@ -29,6 +31,11 @@
     return history;
 }
 
+bool startsWith(const json& messages, const json& prefix)
+{
+    return messages.size() >= prefix.size() && std::equal(prefix.begin(), prefix.end(), messages.begin());
+}
+
 std::uint64_t bytesOf(const json& messages)
 {
     std::uint64_t bytes = 0;
@@ -44,7 +51,8 @@
     auto history = historyOf(program);
     const auto& model = *call.model();
     const auto& received = model.body["messages"];
-    const bool extends = model.appendHistory || received.size() >= history.messages.size();
+    const bool extends = model.appendHistory || startsWith(received, history.messages);
+    call.replacesHistory = !extends;
     call.addedMessages = json::array();
     if (model.appendHistory) {
         call.addedMessages = received;
--- a/source/state/ProgramState.h
+++ b/source/state/ProgramState.h
@@ -28,6 +28,8 @@
     std::string requestId;
     std::uint32_t attempt = 0;
     std::string endpoint;
+    /// \brief `messages` is the whole history up to this turn, not an addition to the earlier turns.
+    bool replacesHistory = false;
     [[nodiscard]] bool operator==(const StoredTurn&) const = default;
 };
 
--- a/source/state/ProgramStore.cpp
+++ b/source/state/ProgramStore.cpp
@@ -137,7 +137,8 @@
         .usage = { record.usage().prompt_tokens(), record.usage().completion_tokens(), record.usage().cached_tokens() },
         .requestId = record.request_id(),
         .attempt = record.attempt(),
-        .endpoint = record.endpoint() };
+        .endpoint = record.endpoint(),
+        .replacesHistory = record.replaces_history() };
     auto& budget = this->budgets[rootOf(key)];
     budget.usedTokens += turn.usage.charged();
     budget.turns += 1;
--- a/source/state/impl/ProgramImage.cpp
+++ b/source/state/impl/ProgramImage.cpp
@@ -57,6 +57,7 @@
     record->set_request_id(turn.requestId);
     record->set_attempt(turn.attempt);
     record->set_endpoint(turn.endpoint);
+    record->set_replaces_history(turn.replacesHistory);
 }
 
 void ProgramImage::addCall(const core::ProgramKey& key, const StoredCall& call)
--- a/tests/support/ControlWorldEffects.cpp
+++ b/tests/support/ControlWorldEffects.cpp
@@ -140,12 +140,14 @@
 void ControlWorld::on(std::size_t node, const control::SendToNode& effect)
 {
     static_cast<void>(node);
-    if (!effect.envelope.has_outcome_report())
-        return;
     for (std::size_t index = 0; index < this->hosts.size(); ++index) {
-        if (this->hosts[index].name == effect.node && this->hosts[index].process)
-            this->post(
-                index, this->hosts[index].process, hop, control::OutcomeReported { effect.envelope.outcome_report() });
+        const auto& host = this->hosts[index];
+        if (host.name != effect.node || !host.process)
+            continue;
+        if (effect.envelope.has_outcome_report())
+            this->post(index, host.process, hop, control::OutcomeReported { effect.envelope.outcome_report() });
+        else if (effect.envelope.has_handover())
+            this->post(index, host.process, hop, control::PartitionsHandedOver {});
     }
 }
 
