Test the commit state when the outage begins during an answer

Cause: a mutation that reported "committed" at the end of the commit wait was caught by no test.

Figures: fails under that mutation, passes without it; TurnFlowTests has 22 tests.

--- a/tests/TurnFlowTests.cpp
+++ b/tests/TurnFlowTests.cpp
@@ -237,6 +237,17 @@
     EXPECT_EQ("committed", after->commitState());
 }
 
+// Guards against "committed" for an answer whose record waits for a store that went down in the meantime.
+TEST_F(TurnFlow, CommitStateIsPendingWhenTheOutageBeginsDuringTheAnswer)
+{
+    const auto answer = this->turn(1, "first");
+    ASSERT_TRUE(this->world.runUntil([&] { return !this->world.endpoints.engineRuns.empty(); }));
+    this->world.store.down = true;
+    this->world.advance(seconds(8));
+    this->expectWhole(answer, "first");
+    EXPECT_EQ("pending", answer->commitState());
+}
+
 // Guards against a history that claims more than its records: a pending turn is lost with its owner, a committed one
 // is not.
 TEST_F(TurnFlow, CommittedTurnsSurviveTheOwner)
