--- a/bench/policy/Table.cpp
+++ b/bench/policy/Table.cpp
@@ -66,7 +66,7 @@
     Summary row(const std::string& title, RunSettings settings, bool judged)
     {
         settings.policy = PolicyKind::Ours;
-        const Summary ours = measure(this->deployment, settings);
+        Summary ours = measure(this->deployment, settings);
         printRow(this->deployment.name + ", " + title, nameOf(settings.policy), ours);
         for (const auto& [condition, count] : ours.violations) {
             std::printf("  VIOLATED: %s (%llu)\n", condition.c_str(), static_cast<unsigned long long>(count));
--- a/source/policy/Scheduler.cpp
+++ b/source/policy/Scheduler.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 Scheduler::Scheduler(SchedulerOptions options, std::uint64_t seed)
-    : options(std::move(options))
+    : options(options)
     , random(seed)
     , endpointRouter(this->options.router)
     , tracker(this->options.health)
