--- a/source/control/ServiceCalls.cpp
+++ b/source/control/ServiceCalls.cpp
@@ -52,7 +52,9 @@
                        this->respond(
                            call, this->context.durable.isPending(call.program) ? "pending" : "committed", now);
                    },
-                   [&](const state::RefuseCall& refused) { this->context.refuse(call, refused.error, suggestedRetryMs(refused.error.code)); },
+                   [&](const state::RefuseCall& refused) {
+                       this->context.refuse(call, refused.error, suggestedRetryMs(refused.error.code));
+                   },
                },
         decision);
 }
--- a/source/control/Turns.cpp
+++ b/source/control/Turns.cpp
@@ -86,7 +86,9 @@
                    },
                    [&](const state::JoinTurn& running) { this->join(call, running.requestId); },
                    [&](const state::ReplayTurn& stored) { this->replay(call, stored.turn); },
-                   [&](const state::RefuseTurn& refused) { this->context.refuse(call, refused.error, suggestedRetryMs(refused.error.code)); },
+                   [&](const state::RefuseTurn& refused) {
+                       this->context.refuse(call, refused.error, suggestedRetryMs(refused.error.code));
+                   },
                },
         decision);
 }
