Keep the node alive when an engine or the table service sends fields of the wrong type

Cause: a number sent as text in an engine's usage, or in a reply of the table service, raised a JSON exception inside a libcurl callback, which ends the process. Found by reading the code; ruled out for the VM list, which catches it. Change: such an event of an engine is ignored, such a reply of the store counts as not answered. Conclusion: a hostile answer of a peer no longer stops the node.

--- a/source/control/Turns.cpp
+++ b/source/control/Turns.cpp
@@ -2,6 +2,7 @@
 
 #include "callers/ChatAnswer.h"
 #include "control/Overloaded.h"
+#include "control/impl/EngineFailures.h"
 #include "control/impl/TurnMessages.h"
 #include "core/Log.h"
 
@@ -12,52 +13,13 @@
 using core::ResultCode;
 using nlohmann::json;
 
-policy::FailureKind policyKind(const engines::EngineFailed& failure)
-{
-    if (failure.status == 429 || failure.status == 503)
-        return policy::FailureKind::Overloaded;
-    if (failure.status != 0 && failure.status != 200)
-        return policy::FailureKind::ServerError;
-    switch (failure.kind) {
-    case http::FailureKind::NotConnected:
-        return policy::FailureKind::ConnectionRefused;
-    case http::FailureKind::NoAnswer:
-    case http::FailureKind::Interrupted:
-        return policy::FailureKind::Crashed;
-    case http::FailureKind::FirstByteTimeout:
-        return policy::FailureKind::TimedOut;
-    case http::FailureKind::SilenceTimeout:
-        return policy::FailureKind::Silent;
-    case http::FailureKind::Cancelled:
-        return policy::FailureKind::Cancelled;
-    }
-    return policy::FailureKind::Crashed;
-}
-
-/// \brief False when the request certainly did not run: it never left, or the engine refused it.
-bool mayHaveRun(const engines::EngineFailed& failure)
-{
-    const bool refused = failure.status == 429 || failure.status == 503;
-    return !refused && failure.kind != http::FailureKind::NotConnected;
-}
-
-std::string serviceOfModel(const document::Document& document, const std::string& model)
-{
-    for (const auto& service : document.services()) {
-        const bool serves = std::find(service.models.begin(), service.models.end(), model) != service.models.end();
-        if (service.kind == document::ServiceKind::Model && serves)
-            return service.name;
-    }
-    return {};
-}
-
 } // namespace
 
 void Turns::start(Call& call, core::TimePoint now)
 {
     const auto* program = this->context.durable.find(call.program);
     const auto* model = call.model();
-    if (call.document->model(model->model) == nullptr || serviceOfModel(*call.document, model->model).empty()) {
+    if (call.document->model(model->model) == nullptr || impl::serviceOfModel(*call.document, model->model).empty()) {
         this->context.refuse(
             call, { ResultCode::UnknownModel, "no service of the document has model " + model->model });
         return;
@@ -135,7 +97,7 @@
 {
     const auto* model = call.model();
     DispatchRequest request;
-    request.service = serviceOfModel(*call.document, model->model);
+    request.service = impl::serviceOfModel(*call.document, model->model);
     request.model = model->model;
     request.cacheKey = cacheKey(call.program);
     const auto separator = call.program.program.rfind('~');
@@ -243,7 +205,7 @@
     // The document's limits bound the ones learned from what the service usually takes.
     const auto silenceLimit = std::chrono::milliseconds(call.document->limits().streamSilenceMs);
     outgoing.silenceTimeout = std::min<core::Duration>(call.silence, silenceLimit);
-    const auto* service = call.document->service(serviceOfModel(*call.document, model->model));
+    const auto* service = call.document->service(impl::serviceOfModel(*call.document, model->model));
     const auto limit = std::chrono::milliseconds(service == nullptr ? 0 : service->timeoutMs);
     outgoing.firstByteTimeout = service == nullptr ? call.timeout : std::min<core::Duration>(call.timeout, limit);
     this->context.effects.push_back(Generate { call.attempt, call.id, std::move(outgoing), call.cacheSource });
@@ -330,8 +292,8 @@
 
 void Turns::onFailed(const GenerationFailed& event, core::TimePoint now)
 {
-    const auto kind = policyKind(event.failure);
-    const auto ran = mayHaveRun(event.failure) ? core::RunState::MayHaveRun : core::RunState::NotRun;
+    const auto kind = impl::policyKind(event.failure);
+    const auto ran = impl::mayHaveRun(event.failure) ? core::RunState::MayHaveRun : core::RunState::NotRun;
     const auto outcome = this->context.dispatch.failed(event.attempt, kind, ran, now);
     if (outcome.notice)
         this->context.effects.push_back(SpreadPoisonNotice { *outcome.notice });
@@ -351,7 +313,7 @@
         this->fail(*call, { ResultCode::EndpointRefused, message }, now, 0);
         return;
     }
-    call->mayHaveRun = call->mayHaveRun || mayHaveRun(event.failure);
+    call->mayHaveRun = call->mayHaveRun || impl::mayHaveRun(event.failure);
     call->text = event.text;
     if (!outcome.retryAt) {
         const core::Error unknown(ResultCode::EndpointFailed, "the endpoint failed", core::RunState::MayHaveRun);
--- a/source/engines/EngineClient.cpp
+++ b/source/engines/EngineClient.cpp
@@ -24,15 +24,19 @@
     return request;
 }
 
-EngineLoad loadFrom(const json& body)
+core::Expected<EngineLoad> loadFrom(const json& body)
 {
-    EngineLoad load;
-    load.running = body.value("running", 0U);
-    load.waiting = body.value("waiting", 0U);
-    load.kvUsed = body.value("kv_used", std::uint64_t(0));
-    load.kvCapacity = body.value("kv_capacity", std::uint64_t(0));
-    load.sampledMs = body.value("sampled_ms", std::int64_t(0));
-    return load;
+    try {
+        EngineLoad load;
+        load.running = body.value("running", 0U);
+        load.waiting = body.value("waiting", 0U);
+        load.kvUsed = body.value("kv_used", std::uint64_t(0));
+        load.kvCapacity = body.value("kv_capacity", std::uint64_t(0));
+        load.sampledMs = body.value("sampled_ms", std::int64_t(0));
+        return load;
+    } catch (const json::exception& error) {
+        return core::failure(core::ResultCode::EndpointFailed, error.what());
+    }
 }
 
 } // namespace
--- a/source/engines/impl/Generation.cpp
+++ b/source/engines/impl/Generation.cpp
@@ -23,11 +23,21 @@
 void Generation::operator()(const http::ResponseData& data)
 {
     if (this->status == 200)
-        this->events.feed(data.bytes, [this](std::string_view payload) { this->onEvent(payload); });
+        this->events.feed(data.bytes, [this](std::string_view payload) { this->onPayload(payload); });
     else if (this->refusal.size() < maximumRefusalText)
         this->refusal.append(data.bytes);
 }
 
+void Generation::onPayload(std::string_view payload)
+{
+    // An exception must not leave a libcurl callback: a field of an unexpected type makes the event worthless, no more.
+    try {
+        this->onEvent(payload);
+    } catch (const nlohmann::json::exception&) {
+        ++this->malformedEvents;
+    }
+}
+
 void Generation::onEvent(std::string_view payload)
 {
     if (payload == "[DONE]") {
--- a/source/engines/impl/Generation.h
+++ b/source/engines/impl/Generation.h
@@ -16,6 +16,7 @@
     void operator()(const http::ResponseFailure& failure);
 
 private:
+    void onPayload(std::string_view payload);
     void onEvent(std::string_view payload);
     void onChoice(const nlohmann::json& choice);
     void finish(const EngineEvent& event);
@@ -25,6 +26,7 @@
     EngineFinished result;
     std::string refusal;
     int status = 0;
+    std::uint64_t malformedEvents = 0;
     bool done = false;
     bool complete = false;
 };
--- a/source/tables/TableClient.cpp
+++ b/source/tables/TableClient.cpp
@@ -44,21 +44,29 @@
     const auto body = json::parse(answer->body, nullptr, false);
     if (!body.is_object() || !body.contains("committed") || !body["committed"].is_boolean())
         return tl::unexpected(unknownOutcome("table service answered " + std::to_string(answer->status)));
-    TransactionReply reply;
-    reply.committed = body["committed"];
-    if (body.contains("versions"))
-        reply.versions = body["versions"].get<std::map<std::string, RowVersion>>();
-    if (body.contains("failed"))
-        reply.failed = body["failed"].get<std::vector<std::string>>();
-    return reply;
+    try {
+        TransactionReply reply;
+        reply.committed = body["committed"];
+        if (body.contains("versions"))
+            reply.versions = body["versions"].get<std::map<std::string, RowVersion>>();
+        if (body.contains("failed"))
+            reply.failed = body["failed"].get<std::vector<std::string>>();
+        return reply;
+    } catch (const json::exception& error) {
+        return tl::unexpected(unknownOutcome(error.what()));
+    }
 }
 
 core::Expected<Row> rowFrom(const json& body, const std::string& key)
 {
-    const auto value = core::decodeBase64(body.value("value", ""));
-    if (!value)
-        return tl::unexpected(unavailable("table service sent a malformed row"));
-    return Row { key, body.value("version", RowVersion(0)), *value };
+    try {
+        const auto value = core::decodeBase64(body.value("value", ""));
+        if (!value)
+            return tl::unexpected(unavailable("table service sent a malformed row"));
+        return Row { key, body.value("version", RowVersion(0)), *value };
+    } catch (const json::exception& error) {
+        return tl::unexpected(unavailable(error.what()));
+    }
 }
 
 core::Expected<std::optional<Row>> readReply(
@@ -82,11 +90,12 @@
     if (!answer)
         return tl::unexpected(unavailable(answer.error().message));
     const auto body = json::parse(answer->body, nullptr, false);
-    if (answer->status != 200 || !body.is_object() || !body.contains("rows"))
+    if (answer->status != 200 || !body.is_object() || !body.contains("rows") || !body["rows"].is_array())
         return tl::unexpected(unavailable("table service answered " + std::to_string(answer->status)));
     std::vector<Row> rows;
     for (const auto& each : body["rows"]) {
-        auto row = rowFrom(each, each.value("key", ""));
+        const bool named = each.is_object() && each.contains("key") && each["key"].is_string();
+        auto row = rowFrom(each, named ? each["key"].get<std::string>() : std::string());
         if (!row)
             return tl::unexpected(row.error());
         rows.push_back(std::move(*row));
