Release a recovered program's memory on every engine it may have used

Cause: while the store is away a known program may be sent to a new engine before that is recorded. Change: a program that was recovered from an earlier owner is released on all listed engines; engines that do not know it confirm at once.

--- a/source/control/Programs.cpp
+++ b/source/control/Programs.cpp
@@ -107,7 +107,7 @@
         entry.set_customer(key.customer);
         entry.set_program(key.program);
         entry.mutable_program_ended()->set_reason(reason);
-        for (const auto& endpoint : state->endpointsUsed)
+        for (const auto& endpoint : this->enginesOf(key, *state))
             entry.mutable_program_ended()->add_endpoints(endpoint);
     }
     std::vector<core::ProgramKey> keys;
@@ -137,11 +137,24 @@
         this->startReleases(key, now);
 }
 
+std::set<std::string> Programs::enginesOf(const core::ProgramKey& key, const state::ProgramState& program) const
+{
+    std::set<std::string> engines(program.endpointsUsed.begin(), program.endpointsUsed.end());
+    if (!this->recovered.contains(key))
+        return engines;
+    for (const auto& [address, endpoint] : this->context.dispatch.endpoints()) {
+        if (!this->context.dispatch.state().router().endpoints().row(endpoint).spec.models.empty())
+            engines.insert(address);
+    }
+    return engines;
+}
+
 void Programs::startReleases(const core::ProgramKey& program, core::TimePoint now)
 {
     const auto* state = this->context.durable.find(program);
     if (state == nullptr || !state->ended)
         return;
+    this->recovered.erase(program);
     this->context.dispatch.released(cacheKey(program));
     if (state::rootOf(program) == program) {
         this->forgetAt[program] = now + retention;
@@ -183,6 +196,8 @@
     for (const auto& [key, program] : store->all()) {
         if (program.ended)
             this->startReleases(key, now);
+        else
+            this->recovered.insert(key);
     }
 }
 
@@ -190,6 +205,7 @@
 {
     for (const auto& program : programs) {
         this->forgetAt.erase(program);
+        this->recovered.erase(program);
         for (auto each = this->releases.lower_bound({ program, {} });
              each != this->releases.end() && each->first.first == program;)
             each = this->releases.erase(each);
--- a/source/control/Programs.h
+++ b/source/control/Programs.h
@@ -3,6 +3,7 @@
 #include "control/Context.h"
 
 #include <map>
+#include <set>
 
 namespace lagoontiller::control {
 
@@ -41,10 +42,16 @@
     void startReleases(const core::ProgramKey& program, core::TimePoint now);
     void confirm(const ReleaseKey& key, core::TimePoint now);
     void expirePrograms(core::TimePoint now);
+    /// \brief Engines that may hold memory of the program.
+    [[nodiscard]] std::set<std::string> enginesOf(
+        const core::ProgramKey& key, const state::ProgramState& program) const;
 
     Context& context;
     std::map<ReleaseKey, Release> releases;
     std::vector<core::ProgramKey> ended;
+    /// \brief Programs that an earlier owner served: while the store was away it may have used engines that it could
+    /// not record before it died.
+    std::set<core::ProgramKey> recovered;
     std::map<core::ProgramKey, core::TimePoint> forgetAt;
     core::TimePoint nextExpiry {};
 };
