--- a/source/gateway/Budgets.cpp
+++ b/source/gateway/Budgets.cpp
@@ -8,16 +8,13 @@
 
 namespace {
 
-constexpr auto table = "budgets";
-/// \brief Parts over which programs are spread; the store runs 300 transactions a second and part.
-constexpr std::uint64_t parts = 16;
-/// \brief A share is raised by this part of what is left beyond the waiting turns. The tokens of a node that dies are
-/// lost to the program, so that the part must leave room for turns at other nodes.
-constexpr std::uint64_t aheadDivisor = 2;
-/// \brief Attempts at a store that is over its rate or does not answer, and the pause between the former.
+/// \brief A share is raised by one more turn, at most by this part of what is left. Turns use a quarter of their most
+/// tokens on average, so that a turn ahead lasts for several turns; the tokens of a node that dies are lost to the
+/// program, so that the part must leave room for turns at other nodes.
+constexpr std::uint64_t aheadDivisor = 4;
+/// \brief Attempts at a store that is over its rate, and at one that does not answer.
 constexpr int maximumOverloads = 4;
 constexpr int maximumUnanswered = 3;
-constexpr core::Duration overloadDelay = std::chrono::milliseconds(60);
 /// \brief Time without an answered call after which the store counts as away; single calls may go unanswered.
 constexpr core::Duration longestUnclearOutage = std::chrono::milliseconds(500);
 /// \brief Local entries idle for this long are dropped; the row has everything.
@@ -33,6 +30,7 @@
     , expiry(expiry)
     , nodeKey(std::move(nodeKey))
     , options(options)
+    , random(core::hash64(this->nodeKey))
 {
 }
 
@@ -48,7 +46,7 @@
         done(BudgetAnswer::Granted);
         return;
     }
-    program.waiting.push_back({ request.tokens, std::move(done), 0 });
+    program.waiting.push_back({ request.tokens, std::move(done) });
     program.checked = false;
     this->pump(request.program);
 }
@@ -74,7 +72,7 @@
         if (program.turns > 0 || program.calling || !program.waiting.empty())
             continue;
         const auto age = now - program.lastUsed;
-        const bool unused = program.share > program.used && !this->contact.lost();
+        const bool unused = program.share > program.used && this->contact.awayFor(now) == core::Duration::zero();
         if (age > this->options.idleBeforeReturn && unused && (othersTotal(program).tokens > 0 || !isHome(id)))
             idle.push_back(id);
         else if (age > forgetAfter)
@@ -165,7 +163,7 @@
         this->refuse(program, spent ? BudgetAnswer::Exhausted : BudgetAnswer::Held);
         return;
     }
-    wanted += (program.budget - taken - wanted) / aheadDivisor;
+    wanted += std::min(program.waiting.front().tokens, (program.budget - taken - wanted) / aheadDivisor);
     this->write(id, program, std::max(wanted, program.used));
 }
 
@@ -207,8 +205,9 @@
         program.unsure = program.unsure || result.error() == StoreFailure::Unknown;
         const bool again = !program.waiting.empty() && program.waiting.front().unanswered++ < maximumUnanswered;
         if (result.error() == StoreFailure::Overloaded && !program.waiting.empty()
-            && program.waiting.front().overloads++ < maximumOverloads) {
-            this->pumpLater(id, overloadDelay);
+            && program.waiting.front().overloads < maximumOverloads) {
+            ++program.waiting.front().overloads;
+            this->pumpLater(id, program.waiting.front().backoff.next(this->random));
             return;
         }
         if (program.unsure && again)
@@ -303,6 +302,12 @@
     return { table, std::to_string(core::hash64(id) % parts), id };
 }
 
+std::optional<std::uint64_t> Budgets::keptUntil(const Row& row)
+{
+    wire::BudgetRecord record;
+    return record.ParseFromString(row.value) ? std::optional(record.kept_until_ms()) : std::nullopt;
+}
+
 Budgets::Share Budgets::othersTotal(const Program& program)
 {
     Share total;
--- a/source/gateway/Budgets.h
+++ b/source/gateway/Budgets.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "gateway/Expiry.h"
+#include "state/Backoff.h"
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <optional>
 #include <unordered_map>
 
 namespace lagoontiller::gateway {
@@ -35,6 +37,8 @@
     /// \brief Most tokens that the turn generates.
     std::uint64_t tokens = 0;
     core::Duration retention {};
+    /// \brief Time within which the turn ends.
+    core::Duration hold {};
 };
 
 /// \brief Holds programs to their output token budgets over all nodes, broken attempts and restarts.
@@ -42,8 +46,8 @@
 /// One row per program has a share per node incarnation: the tokens that the node may have handed out. A node raises
 /// its share, under a condition on the row's version, before it starts a turn that its share does not cover, and lowers
 /// it to what was really handed out when the program has been idle there. The sum of the shares never exceeds the
-/// budget, so whatever happens to a node, no more than the budget is handed out. A share is raised by more than one
-/// turn while less than half of the budget is taken: turns then start without the store, also while it is away.
+/// budget, so whatever happens to a node, no more than the budget is handed out. A share is raised by up to one turn
+/// more than is needed: turns then start without the store, also while it is away.
 class Budgets {
 public:
     using Done = std::function<void(BudgetAnswer)>;
@@ -62,6 +66,12 @@
     void release();
     [[nodiscard]] std::size_t size() const noexcept { return this->programs.size(); }
 
+    static constexpr auto table = "budgets";
+    /// \brief Parts over which programs are spread; the store runs 300 transactions a second and part.
+    static constexpr std::uint64_t parts = 16;
+    /// \brief Time of the store's clock in ms until which a program's row is kept.
+    [[nodiscard]] static std::optional<std::uint64_t> keptUntil(const Row& row);
+
 private:
     struct Share {
         std::uint64_t tokens = 0;
@@ -73,6 +83,8 @@
         int rechecks = 0;
         int overloads = 0;
         int unanswered = 0;
+        /// \brief Pauses between attempts at a store that is over its rate.
+        state::Backoff backoff { std::chrono::milliseconds(60), std::chrono::milliseconds(480) };
     };
     struct Program {
         std::uint64_t budget = 0;
@@ -112,6 +124,7 @@
     Expiry& expiry;
     std::string nodeKey;
     BudgetOptions options;
+    state::Generator random;
     std::unordered_map<std::string, Program> programs;
 };
 
--- a/source/gateway/Flow.h
+++ b/source/gateway/Flow.h
@@ -3,6 +3,7 @@
 #include "gateway/EventReader.h"
 #include "gateway/Peers.h"
 #include "gateway/Types.h"
+#include "state/Backoff.h"
 #include "transport/ClientPool.h"
 #include "transport/Server.h"
 
@@ -55,6 +56,8 @@
     // Answer.
     bool begun = false;
     bool committing = false;
+    /// \brief Pauses between attempts to write the turn.
+    state::Backoff commitBackoff { std::chrono::milliseconds(50), std::chrono::milliseconds(250) };
     bool reachedEndpoint = false;
     std::uint64_t events = 0;
     std::optional<std::uint64_t> lastEvent;
--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -101,6 +101,7 @@
     request.budget = *flow->call.tokenBudget;
     request.tokens = std::max<std::uint32_t>(flow->call.maximumOutputTokens, 1);
     request.retention = flow->route->retention;
+    request.hold = flow->route->timeout;
     this->parts.peers.reserve(request, now, [this, id, program = request.program](const Reservation& reservation) {
         const bool granted = reservation.answer == BudgetAnswer::Granted;
         if (auto* const waiting = this->find(id)) {
--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -12,7 +12,6 @@
 constexpr std::size_t maximumAnswerBytes = 16U << 20U;
 /// \brief Bytes that wait for a slow caller before its stream is given up.
 constexpr std::size_t maximumBacklog = 1U << 20U;
-constexpr core::Duration commitRetryDelay = std::chrono::milliseconds(50);
 /// \brief Time of a stream that is usual, for the comparison of endpoints: prefill and 17 events (site sheets).
 constexpr double usualStreamMs = 400;
 constexpr double usualPlainMs = 150;
@@ -157,9 +156,15 @@
             this->endStream(id);
             return;
         }
-        if (const auto* const waiting = this->find(id))
-            core::logWarning("turn_commit_failed").with("id", waiting->call.id);
-        auto timer = std::make_shared<asio::steady_timer>(this->parts.context, commitRetryDelay);
+        auto* const waiting = this->find(id);
+        if (waiting == nullptr)
+            return;
+        const auto delay = waiting->commitBackoff.next(this->random);
+        core::logWarning("turn_commit_failed")
+            .with("id", waiting->call.id)
+            .with("again_ms", delay.count() / 1'000)
+            .with("store_away_ms", this->parts.contact.awayFor(core::monotonicNow()).count() / 1'000);
+        auto timer = std::make_shared<asio::steady_timer>(this->parts.context, delay);
         timer->async_wait([this, id, timer](asio::error_code error) {
             if (!error)
                 this->commitTurn(id);
--- a/source/gateway/Histories.cpp
+++ b/source/gateway/Histories.cpp
@@ -1,72 +1,43 @@
 #include "gateway/Histories.h"
 
-#include "core/Hash.h"
 #include "core/Log.h"
-#include "proto/gateway.pb.h"
-
-#include <optional>
+#include "gateway/impl/TurnRows.h"
 
 namespace lagoontiller::gateway {
 
 namespace {
 
-constexpr auto table = "turns";
-/// \brief Parts over which turns are spread; the store runs 300 transactions a second and part.
-constexpr std::uint64_t parts = 16;
 /// \brief Memory of an entry beside its texts.
 constexpr std::size_t entryBytes = 256;
-/// \brief Added to the retention, so that a chain whose newest turn is kept has its older turns too; far longer than
-/// the conversations of the sites last (up to a minute).
+/// \brief Added to the retention, so that a chain whose newest turn is kept has its older turns too.
 constexpr core::Duration chainMargin = std::chrono::minutes(30);
+/// \brief An ancestor that is kept for less than the retention and this time is written again: once in a quarter of an
+/// hour of a conversation, and with a quarter of an hour to try again while the store is away.
+constexpr core::Duration extendBefore = std::chrono::minutes(15);
 
 std::size_t size(const Turn& turn) noexcept
 {
     return entryBytes + turn.input.size() + turn.output.size() + turn.ancestors.size() * 32;
 }
 
-std::string encode(const Turn& turn, std::uint64_t keptUntil)
-{
-    wire::TurnRecord record;
-    for (const auto& each : turn.ancestors)
-        record.add_ancestors(each);
-    record.set_input(turn.input);
-    record.set_output(turn.output);
-    record.set_kept_until_ms(keptUntil);
-    return record.SerializeAsString();
-}
-
-/// \brief Key of the nth row of a turn; rows after the first carry what the first has no room for.
-std::string pieceKey(const std::string& id, std::size_t piece)
-{
-    return piece == 0 ? id : id + "~" + std::string(1, static_cast<char>('0' + piece));
-}
-
-constexpr std::size_t maximumPieces = 10;
+/// \brief Rows per transaction: with rows of 64 KB below the megabyte that the store takes.
+constexpr std::size_t rowsPerTransaction = 10;
 
-/// \brief Joins the pieces of the turn's record; nothing when there is none.
-std::optional<std::string> joinPieces(const std::string& id, const std::vector<Row>& rows)
-{
-    std::string text;
-    std::size_t piece = 0;
-    for (const auto& row : rows) {
-        if (row.key.key == pieceKey(id, piece)) {
-            text.append(row.value);
-            ++piece;
-        }
-    }
-    return piece == 0 ? std::nullopt : std::optional(text);
-}
+} // namespace
 
-std::shared_ptr<const Turn> decode(const std::string& id, const std::string& text)
-{
-    wire::TurnRecord record;
-    if (!record.ParseFromString(text))
-        return nullptr;
-    Turn turn { id, { record.ancestors().begin(), record.ancestors().end() }, record.input(), record.output() };
-    return std::make_shared<const Turn>(std::move(turn));
-}
+struct Histories::Reading {
+    std::string id;
+    std::vector<Row> rows;
+    std::function<void(tl::expected<Shared, HistoryFailure>)> done;
+};
 
-} // namespace
+struct Histories::Writing {
+    Shared turn;
+    std::vector<Row> rows;
+    core::Duration keptFor {};
+    std::size_t written = 0;
+    std::function<void(bool durable)> done;
+};
 
 struct Histories::Loading {
     Shared last;
@@ -147,51 +118,102 @@
 
 void Histories::readTurn(const std::string& id, std::function<void(tl::expected<Shared, HistoryFailure>)> done)
 {
-    const auto key = rowKey(id);
-    const RowRange range { key.table, key.part, id, id + "~~", maximumPieces };
-    this->store.read(
-        range, this->contact.callTimeout(), [this, id, done = std::move(done)](const StoreResult<RowPage>& page) {
+    this->readRows(std::make_shared<Reading>(Reading { id, {}, std::move(done) }), impl::turnKey(id).key);
+}
+
+void Histories::readRows(const std::shared_ptr<Reading>& reading, const std::string& from)
+{
+    const auto key = impl::turnKey(reading->id);
+    this->store.read({ key.table, key.part, from, impl::turnEnd(reading->id) }, this->contact.callTimeout(),
+        [this, reading](const StoreResult<RowPage>& page) {
             if (!page) {
-                done(tl::unexpected(HistoryFailure::Unavailable));
-                return;
-            }
-            const auto text = joinPieces(id, page->rows);
-            auto turn = text ? decode(id, *text) : nullptr;
-            if (text && !turn)
-                core::logError("turn_row_unreadable").with("turn", id);
-            if (!turn) {
-                done(tl::unexpected(text ? HistoryFailure::Unavailable : HistoryFailure::NotFound));
+                reading->done(tl::unexpected(HistoryFailure::Unavailable));
                 return;
             }
-            this->keep(turn);
-            done(std::move(turn));
+            reading->rows.insert(reading->rows.end(), page->rows.begin(), page->rows.end());
+            if (page->more && !page->rows.empty())
+                this->readRows(reading, page->rows.back().key.key + '\0');
+            else
+                this->rowsRead(*reading);
         });
 }
 
+void Histories::rowsRead(const Reading& reading)
+{
+    // The first row is written last: without it there is no turn.
+    if (reading.rows.empty() || reading.rows.front().key.key != impl::turnKey(reading.id).key) {
+        reading.done(tl::unexpected(HistoryFailure::NotFound));
+        return;
+    }
+    auto turn = impl::decodeTurn(reading.id, reading.rows);
+    if (!turn) {
+        core::logError("turn_rows_unreadable").with("turn", reading.id).with("rows", reading.rows.size());
+        reading.done(tl::unexpected(HistoryFailure::Unavailable));
+        return;
+    }
+    this->keep(turn);
+    reading.done(std::move(turn));
+}
+
 void Histories::commit(const Shared& turn, core::Duration retention, std::function<void(bool)> done)
 {
-    const auto now = core::monotonicNow();
-    const auto keptFor = retention + chainMargin;
-    const auto text = encode(*turn, this->contact.storeNow(now) + static_cast<std::uint64_t>(keptFor.count() / 1'000));
-    const auto key = rowKey(turn->id);
-    RowTransaction transaction;
-    for (std::size_t piece = 0; piece == 0 || piece * this->rowBytes < text.size(); ++piece) {
-        transaction.puts.push_back({ { key.table, key.part, pieceKey(turn->id, piece) },
-            text.substr(piece * this->rowBytes, this->rowBytes) });
+    this->extendAncestors(*turn, retention);
+    this->write(turn, retention + chainMargin, std::move(done));
+}
+
+void Histories::extendAncestors(const Turn& turn, core::Duration retention)
+{
+    const auto needed = this->contact.storeNow(core::monotonicNow())
+        + static_cast<std::uint64_t>((retention + extendBefore).count() / 1'000);
+    for (const auto& id : turn.ancestors) {
+        const auto ancestor = this->cached(id);
+        if (!ancestor || ancestor->keptUntilMs == 0 || ancestor->keptUntilMs >= needed)
+            continue;
+        this->write(ancestor, retention + chainMargin, [id](bool durable) {
+            core::logInfo("turn_kept_longer").with("turn", id).with("written", durable ? "yes" : "no");
+        });
     }
-    if (transaction.puts.size() > maximumPieces) {
-        core::logError("turn_too_large").with("turn", turn->id).with("bytes", text.size());
-        done(false);
+}
+
+void Histories::write(const Shared& content, core::Duration keptFor, std::function<void(bool)> done)
+{
+    const auto now = core::monotonicNow();
+    auto kept = *content;
+    kept.keptUntilMs = this->contact.storeNow(now) + static_cast<std::uint64_t>(keptFor.count() / 1'000);
+    const auto turn = std::make_shared<const Turn>(std::move(kept));
+    auto writing = std::make_shared<Writing>(Writing { turn, impl::encodeTurn(*turn, this->rowBytes), keptFor });
+    writing->done = std::move(done);
+    if (writing->rows.empty()) {
+        core::logError("turn_too_large").with("turn", turn->id).with("bytes", turn->input.size() + turn->output.size());
+        writing->done(false);
         return;
     }
+    this->writeRows(writing);
+}
+
+void Histories::writeRows(const std::shared_ptr<Writing>& writing)
+{
+    const auto first = writing->written;
+    const auto count = std::min(rowsPerTransaction, writing->rows.size() - first);
+    RowTransaction transaction;
+    for (std::size_t row = first; row < first + count; ++row)
+        transaction.puts.push_back(writing->rows[row]);
     this->store.transact(std::move(transaction), this->contact.callTimeout(),
-        [this, turn, key, keptFor, done = std::move(done)](StoreResult<TransactionResult> result) {
-            const bool durable = result && result->applied;
-            if (durable) {
-                this->keep(turn);
-                this->expiry.written(key, result->version, core::monotonicNow() + keptFor);
+        [this, writing, count](const StoreResult<TransactionResult>& result) {
+            if (!result || !result->applied) {
+                writing->done(false);
+                return;
             }
-            done(durable);
+            const auto removeAt = core::monotonicNow() + writing->keptFor;
+            for (std::size_t row = 0; row < count; ++row)
+                this->expiry.written(writing->rows[writing->written + row].key, result->version, removeAt);
+            writing->written += count;
+            if (writing->written < writing->rows.size()) {
+                this->writeRows(writing);
+                return;
+            }
+            this->keep(writing->turn);
+            writing->done(true);
         });
 }
 
@@ -206,8 +228,11 @@
 
 void Histories::keep(const Shared& turn)
 {
-    if (this->turns.contains(turn->id))
+    if (const auto known = this->turns.find(turn->id); known != this->turns.end()) {
+        if (known->second.turn->keptUntilMs < turn->keptUntilMs)
+            known->second.turn = turn;
         return;
+    }
     this->uses.push_front(turn->id);
     this->turns.emplace(turn->id, Cached { turn, this->uses.begin() });
     this->bytes += size(*turn);
@@ -235,9 +260,4 @@
     return chain;
 }
 
-RowKey Histories::rowKey(const std::string& id)
-{
-    return { table, std::to_string(core::hash64(id) % parts), id };
-}
-
 } // namespace lagoontiller::gateway
--- a/source/gateway/Histories.h
+++ b/source/gateway/Histories.h
@@ -4,6 +4,7 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace lagoontiller::gateway {
@@ -16,6 +17,8 @@
     std::string input;
     /// \brief Data of the events, each followed by a line feed.
     std::string output;
+    /// \brief Time of the store's clock until which the row is kept at least, in ms; 0 when not known.
+    std::uint64_t keptUntilMs = 0;
     [[nodiscard]] bool operator==(const Turn&) const = default;
 };
 
@@ -31,8 +34,9 @@
 
 /// \brief Turns in the store, with the recently used ones in memory.
 ///
-/// A turn is one row under its id, so that any node finds it with one read, and names its ancestors, so that the rest
-/// of the chain is read at once. Rows never change, which makes repeated and late writes harmless.
+/// A turn is one row under its id, with further rows for a large one, so that any node finds it with one read, and
+/// names its ancestors, so that the rest of the chain is read at once. The content of rows never changes, which makes
+/// repeated and late writes harmless; only the time for which a row is kept grows while its chain goes on.
 class Histories {
 public:
     Histories(RowStore& store, StoreContact& contact, Expiry& expiry, std::size_t memoryBytes, std::size_t rowBytes);
@@ -57,11 +61,18 @@
         std::list<std::string>::iterator use;
     };
     struct Loading;
+    struct Reading;
+    struct Writing;
 
     [[nodiscard]] Shared cached(const std::string& id);
     void readTurn(const std::string& id, std::function<void(tl::expected<Shared, HistoryFailure>)> done);
     void loadAncestors(const std::shared_ptr<Loading>& loading);
-    [[nodiscard]] static RowKey rowKey(const std::string& id);
+    void readRows(const std::shared_ptr<Reading>& reading, const std::string& from);
+    void rowsRead(const Reading& reading);
+    void write(const Shared& turn, core::Duration keptFor, std::function<void(bool durable)> done);
+    void writeRows(const std::shared_ptr<Writing>& writing);
+    /// \brief Keeps the ancestors of the turn as long as the turn itself.
+    void extendAncestors(const Turn& turn, core::Duration retention);
 
     RowStore& store;
     StoreContact& contact;
--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Encoding.h"
 #include "core/Log.h"
+#include "gateway/impl/TurnRows.h"
 #include "platform/EntryMessages.h"
 #include "platform/Records.h"
 #include "platform/StoreClient.h"
@@ -74,8 +75,17 @@
     , storePool(this->context)
     , endpointPool(this->context)
     , platformStore(std::make_unique<platform::StoreClient>(this->storePool, this->settings->storeAddress.text()))
-    , store(*this->platformStore, this->contact)
+    , direct(*this->platformStore, this->contact)
+    , roster(this->context, this->direct, this->contact, selfEntry(*this->settings), zoneNames(*this->settings))
+    , peerPool(this->context)
+    , peerLink(this->peerPool)
+    , relayServer(this->direct, this->contact)
+    , store(this->direct, this->contact, this->peerLink, this->roster)
     , expiry(this->store, this->contact)
+    , sweeper(this->store, this->contact,
+          { { impl::turnTable, impl::turnParts, impl::turnKeptUntil },
+              { Budgets::table, Budgets::parts, Budgets::keptUntil } },
+          std::random_device()())
     , budgets(
           this->context, this->store, this->contact, this->expiry, this->settings->nodeName + ":" + core::randomHex(4))
     , histories(this->store, this->contact, this->expiry, this->settings->memoryBytes / historyMemoryDivisor,
@@ -104,19 +114,17 @@
                this->peers.serve(connection, request, core::monotonicNow());
            },
               [](transport::ConnectionId) {} })
-    , peerPool(this->context)
-    , roster(this->context, this->store, this->contact, selfEntry(*this->settings), zoneNames(*this->settings))
-    , peers(this->peerPool, this->peerServer, this->budgets, this->histories, this->roster)
+    , peers({ this->peerLink, this->peerServer, this->budgets, this->histories, this->roster, this->relayServer })
     , losses(this->context, this->endpointPool, this->store, this->contact, this->expiry)
     , gateway({ this->context, this->callers, this->endpointPool, this->directory, this->histories, this->peers,
                   this->losses, this->contact, this->metrics },
           { this->settings->zone, this->settings->region, this->settings->zones, 1 }, std::random_device()())
-    , configurationWatch(this->context, this->store, this->contact, std::string(platform::configurationTable),
+    , configurationWatch(this->context, this->direct, this->contact, std::string(platform::configurationTable),
           { [this](const Row& row) { this->configurationChanged(row); }, [](const std::string&) {} })
-    , endpointWatch(this->context, this->store, this->contact, std::string(platform::endpointTable),
+    , endpointWatch(this->context, this->direct, this->contact, std::string(platform::endpointTable),
           { [this](const Row& row) { this->endpointChanged(row); },
               [this](const std::string& id) { this->directory.remove(id, core::monotonicNow()); } })
-    , lossWatch(this->context, this->store, this->contact, std::string(Losses::table),
+    , lossWatch(this->context, this->direct, this->contact, std::string(Losses::table),
           { [this](const Row& row) { this->losses.changed(row, core::monotonicNow()); }, [](const std::string&) {} })
 {
 }
@@ -278,7 +286,11 @@
         core::logInfo("node_leaving")
             .with("in_progress", this->gateway.inProgress())
             .with("after_ms", elapsed.count() / 1'000);
-        this->context.stop();
+        if (this->left)
+            this->context.stop();
+        // The row is removed before the next tick ends the process; a lost call leaves the row to the other nodes.
+        this->left = true;
+        this->roster.leave();
     }
 }
 
@@ -290,6 +302,7 @@
             return;
         const auto now = core::monotonicNow();
         this->gateway.tick(now);
+        this->peers.tick(now);
         if (this->stopping)
             this->checkStopped();
         if (now >= this->nextSecond)
@@ -305,6 +318,7 @@
     this->nextSecond = now + interval;
     this->budgets.tick(now, [this, now](const std::string& program) { return this->peers.isHome(program, now); });
     this->expiry.tick(now);
+    this->sweeper.tick(now);
     this->directory.tick(now);
     this->losses.tick(now);
     this->gateway.setDeciders(static_cast<double>(this->roster.zoneSize()));
--- a/source/gateway/Node.h
+++ b/source/gateway/Node.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "gateway/Gateway.h"
+#include "gateway/RelayedStore.h"
 #include "gateway/Roster.h"
+#include "gateway/Sweeper.h"
 #include "gateway/TableWatch.h"
 #include "settings/GatewaySettings.h"
 
@@ -46,8 +48,16 @@
     transport::ClientPool endpointPool;
     std::unique_ptr<RowStore> platformStore;
     StoreContact contact;
-    ObservedStore store;
+    /// \brief The direct way to the store, for this node's own views and heartbeats.
+    ObservedStore direct;
+    Roster roster;
+    transport::ClientPool peerPool;
+    PeerLink peerLink;
+    RelayServer relayServer;
+    /// \brief The way for what must be kept, through peers where needed.
+    RelayedStore store;
     Expiry expiry;
+    Sweeper sweeper;
     Budgets budgets;
     Histories histories;
     Directory directory;
@@ -56,8 +66,6 @@
     transport::Server entry;
     transport::Server metricsServer;
     transport::Server peerServer;
-    transport::ClientPool peerPool;
-    Roster roster;
     Peers peers;
     Losses losses;
     Gateway gateway;
@@ -66,6 +74,7 @@
     TableWatch lossWatch;
     bool configured = false;
     bool stopping = false;
+    bool left = false;
     core::TimePoint stopAt {};
     core::TimePoint nextSecond {};
 };
--- /dev/null
+++ b/source/gateway/PeerLink.cpp
@@ -0,0 +1,53 @@
+#include "gateway/PeerLink.h"
+
+#include "core/Log.h"
+#include "proto/gateway.pb.h"
+
+namespace lagoontiller::gateway {
+
+namespace {
+
+/// \brief Longest wait for a peer of the same zone, a multiple of its answer time (1 ms, or 10 ms with a store call).
+constexpr core::Duration connectTimeout = std::chrono::milliseconds(150);
+constexpr core::Duration answerTimeout = std::chrono::milliseconds(300);
+/// \brief Peers announce no time-out; their server closes idle connections after a minute.
+constexpr core::Duration longestIdle = std::chrono::seconds(30);
+/// \brief Time for which a peer that did not answer is not asked.
+constexpr core::Duration suspectTime = std::chrono::milliseconds(1'000);
+
+} // namespace
+
+void PeerLink::ask(const std::string& peer, const wire::PeerRequest& request, Answered done)
+{
+    const auto body = request.SerializeAsString();
+    auto text
+        = "POST /peer HTTP/1.1\r\nHost: " + peer + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    transport::ExchangeOptions options;
+    options.connectTimeout = connectTimeout;
+    options.longestIdle = longestIdle;
+    options.answerTimeout = answerTimeout;
+    auto answer = std::make_shared<std::string>();
+    auto status = std::make_shared<int>(0);
+    transport::ExchangeEvents events;
+    events.head = [status](transport::ResponseHead&& head) { *status = head.status; };
+    events.body = [answer](std::string&& bytes) { answer->append(bytes); };
+    events.ended = [this, peer, status, answer, done = std::move(done)](transport::ExchangeEnd end) {
+        wire::PeerResponse response;
+        if (end == transport::ExchangeEnd::Complete && *status == 200 && response.ParseFromString(*answer)) {
+            done(&response);
+            return;
+        }
+        core::logWarning("peer_not_answering").with("peer", peer).with("status", *status);
+        this->suspectUntil[peer] = core::monotonicNow() + suspectTime;
+        done(nullptr);
+    };
+    this->pool.send(peer, text + body, std::move(options), std::move(events));
+}
+
+bool PeerLink::suspected(const std::string& peer, core::TimePoint now) const
+{
+    const auto found = this->suspectUntil.find(peer);
+    return found != this->suspectUntil.end() && found->second > now;
+}
+
+} // namespace lagoontiller::gateway
--- a/source/gateway/Peers.cpp
+++ b/source/gateway/Peers.cpp
@@ -1,5 +1,6 @@
 #include "gateway/Peers.h"
 
+#include "core/Encoding.h"
 #include "core/Hash.h"
 #include "core/Log.h"
 #include "proto/gateway.pb.h"
@@ -8,13 +9,13 @@
 
 namespace {
 
-/// \brief Longest wait for a peer of the same zone, a multiple of its answer time (1 ms, or 10 ms with a store call).
-constexpr core::Duration connectTimeout = std::chrono::milliseconds(150);
-constexpr core::Duration answerTimeout = std::chrono::milliseconds(300);
-/// \brief Peers announce no time-out; their server closes idle connections after a minute.
-constexpr core::Duration longestIdle = std::chrono::seconds(30);
-/// \brief Time for which a peer that did not answer is not asked.
-constexpr core::Duration suspectTime = std::chrono::milliseconds(1'000);
+/// \brief Added to the longest time of a turn before an unsettled reservation counts as used: a stream that its caller
+/// reads slowly, and the way of the settlement.
+constexpr core::Duration settleMargin = std::chrono::milliseconds(2'000);
+/// \brief Time after which a home that waits for the store says so: below the time after which a peer counts as lost.
+constexpr core::Duration pendingAfter = std::chrono::milliseconds(100);
+/// \brief Longest wait for a reservation; callers leave a stream after two seconds without an event.
+constexpr core::Duration longestReservation = std::chrono::milliseconds(1'500);
 /// \brief Homes that are tried one after the other before a node takes a share of its own.
 constexpr int maximumHomes = 2;
 
@@ -25,14 +26,15 @@
         record.add_ancestors(each);
     record.set_input(turn.input);
     record.set_output(turn.output);
+    record.set_kept_until_ms(turn.keptUntilMs);
     return record;
 }
 
 std::shared_ptr<const Turn> decode(const wire::OfferedTurn& offered)
 {
     const auto& record = offered.turn();
-    return std::make_shared<const Turn>(Turn {
-        offered.id(), { record.ancestors().begin(), record.ancestors().end() }, record.input(), record.output() });
+    return std::make_shared<const Turn>(Turn { offered.id(), { record.ancestors().begin(), record.ancestors().end() },
+        record.input(), record.output(), record.kept_until_ms() });
 }
 
 BudgetAnswer budgetAnswer(wire::PeerResponse::BudgetAnswer answer) noexcept
@@ -66,13 +68,14 @@
 
 } // namespace
 
-Peers::Peers(
-    transport::ClientPool& pool, transport::Server& server, Budgets& budgets, Histories& histories, Roster& roster)
-    : pool(pool)
-    , server(server)
-    , budgets(budgets)
-    , histories(histories)
-    , roster(roster)
+Peers::Peers(PeerParts parts)
+    : link(parts.link)
+    , server(parts.server)
+    , budgets(parts.budgets)
+    , histories(parts.histories)
+    , roster(parts.roster)
+    , relays(parts.relays)
+    , incarnation(core::randomHex(8))
 {
 }
 
@@ -83,8 +86,7 @@
     std::uint64_t highest = 0;
     bool self = true;
     for (const auto& peer : this->roster.zonePeers()) {
-        const auto suspect = this->suspectUntil.find(peer.address);
-        if (!peer.self && suspect != this->suspectUntil.end() && suspect->second > now)
+        if (!peer.self && this->link.suspected(peer.address, now))
             continue;
         const auto score = core::combine(hash, core::hash64(peer.address));
         if (score >= highest) {
@@ -96,70 +98,61 @@
     return self ? std::string() : best;
 }
 
-void Peers::ask(const std::string& peer, const wire::PeerRequest& request, Answered done)
-{
-    const auto body = request.SerializeAsString();
-    auto text
-        = "POST /peer HTTP/1.1\r\nHost: " + peer + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-    transport::ExchangeOptions options;
-    options.connectTimeout = connectTimeout;
-    options.longestIdle = longestIdle;
-    options.answerTimeout = answerTimeout;
-    auto answer = std::make_shared<std::string>();
-    auto status = std::make_shared<int>(0);
-    transport::ExchangeEvents events;
-    events.head = [status](transport::ResponseHead&& head) { *status = head.status; };
-    events.body = [answer](std::string&& bytes) { answer->append(bytes); };
-    events.ended = [this, peer, status, answer, done = std::move(done)](transport::ExchangeEnd end) {
-        wire::PeerResponse response;
-        if (end == transport::ExchangeEnd::Complete && *status == 200 && response.ParseFromString(*answer)) {
-            done(&response);
-            return;
-        }
-        core::logWarning("peer_not_answering").with("peer", peer).with("status", *status);
-        this->suspectUntil[peer] = core::monotonicNow() + suspectTime;
-        done(nullptr);
-    };
-    this->pool.send(peer, text + body, std::move(options), std::move(events));
-}
-
 void Peers::reserveHere(const BudgetRequest& request, core::TimePoint now, std::function<void(Reservation)> done)
 {
     this->budgets.reserve(request, now, [done = std::move(done), tokens = request.tokens](BudgetAnswer answer) {
-        done(Reservation { answer, {}, tokens });
+        done(Reservation { answer, {}, {}, tokens });
     });
 }
 
 void Peers::reserve(const BudgetRequest& request, core::TimePoint now, std::function<void(Reservation)> done)
 {
-    this->reserveAt(this->homeOf(request.program, now), request, 1, std::move(done));
+    auto asking = std::make_shared<Asking>();
+    asking->request = request;
+    asking->giveUpAt = now + longestReservation;
+    asking->done = std::move(done);
+    this->reserveAt(this->homeOf(request.program, now), asking);
 }
 
-void Peers::reserveAt(
-    const std::string& home, const BudgetRequest& request, int tries, std::function<void(Reservation)> done)
+void Peers::reserveAt(const std::string& home, const std::shared_ptr<Asking>& asking)
 {
     if (home.empty()) {
-        this->reserveHere(request, core::monotonicNow(), std::move(done));
+        this->reserveHere(asking->request, core::monotonicNow(), std::move(asking->done));
         return;
     }
+    asking->home = home;
+    asking->id = this->incarnation + "." + std::to_string(++this->lastReservation);
+    ++asking->homes;
+    this->askReservation(asking);
+}
+
+void Peers::askReservation(const std::shared_ptr<Asking>& asking)
+{
+    const auto& request = asking->request;
     wire::PeerRequest message;
     auto* const reserve = message.mutable_reserve();
     reserve->set_program(request.program);
     reserve->set_budget(request.budget);
     reserve->set_tokens(request.tokens);
     reserve->set_retention_ms(static_cast<std::uint64_t>(request.retention.count() / 1'000));
-    this->ask(home, message, [this, home, request, tries, done = std::move(done)](const wire::PeerResponse* response) {
+    reserve->set_hold_ms(static_cast<std::uint64_t>(request.hold.count() / 1'000));
+    reserve->set_reservation(asking->id);
+    this->link.ask(asking->home, message, [this, asking](const wire::PeerResponse* response) {
         const auto now = core::monotonicNow();
-        if (response == nullptr && tries < maximumHomes) {
-            this->reserveAt(this->homeOf(request.program, now), request, tries + 1, done);
+        if (response != nullptr && response->budget() == wire::PeerResponse::PENDING && now < asking->giveUpAt) {
+            this->askReservation(asking);
             return;
         }
         const auto answer = response == nullptr ? BudgetAnswer::Unavailable : budgetAnswer(response->budget());
-        // The home may have lost the store where this node has not.
+        // The home may have reserved the tokens, or do so later, although its answer did not come.
         if (answer == BudgetAnswer::Unavailable)
-            this->reserveHere(request, now, done);
+            this->settleAt(asking->home, asking->id, 0);
+        if (response == nullptr && asking->homes < maximumHomes)
+            this->reserveAt(this->homeOf(asking->request.program, now), asking);
+        else if (response == nullptr)
+            this->reserveHere(asking->request, now, std::move(asking->done));
         else
-            done(Reservation { answer, home, request.tokens });
+            asking->done(Reservation { answer, asking->home, asking->id, asking->request.tokens });
     });
 }
 
@@ -169,13 +162,35 @@
         this->budgets.settle(program, reservation.tokens, used, now);
         return;
     }
+    this->settleAt(reservation.peer, reservation.id, used);
+}
+
+void Peers::settleAt(const std::string& peer, const std::string& reservation, std::uint64_t used)
+{
     wire::PeerRequest message;
     auto* const settle = message.mutable_settle();
-    settle->set_program(program);
-    settle->set_reserved(reservation.tokens);
+    settle->set_reservation(reservation);
     settle->set_used(used);
-    // A lost settlement leaves the tokens reserved, which errs on the side of the budget.
-    this->ask(reservation.peer, message, [](const wire::PeerResponse*) {});
+    // After a lost settlement the peer counts all tokens as used, which errs on the side of the budget.
+    this->link.ask(peer, message, [](const wire::PeerResponse*) {});
+}
+
+void Peers::tick(core::TimePoint now)
+{
+    std::vector<std::string> overdue;
+    for (auto& [id, held] : this->held) {
+        if (held.waiter && held.answerBy <= now)
+            this->answerReservation(held, wire::PeerResponse::PENDING);
+        if (held.answer && held.until <= now)
+            overdue.push_back(id);
+    }
+    for (const auto& id : overdue) {
+        const auto held = std::move(this->held.extract(id).mapped());
+        if (held.answer != BudgetAnswer::Granted)
+            continue;
+        core::logWarning("reservation_overdue").with("program", held.program).with("tokens", held.tokens);
+        this->budgets.settle(held.program, held.tokens, held.tokens, now);
+    }
 }
 
 void Peers::load(const std::string& program, const std::string& turn, core::TimePoint now,
@@ -188,7 +203,7 @@
     }
     wire::PeerRequest message;
     message.mutable_load()->set_turn(turn);
-    this->ask(home, message, [this, turn, done = std::move(done)](const wire::PeerResponse* response) {
+    this->link.ask(home, message, [this, turn, done = std::move(done)](const wire::PeerResponse* response) {
         if (response == nullptr || response->chain().empty()) {
             this->histories.load(turn, done);
             return;
@@ -210,7 +225,7 @@
     wire::PeerRequest message;
     message.mutable_offer()->set_id(turn.id);
     *message.mutable_offer()->mutable_turn() = encode(turn);
-    this->ask(home, message, [](const wire::PeerResponse*) {});
+    this->link.ask(home, message, [](const wire::PeerResponse*) {});
 }
 
 void Peers::respond(transport::ConnectionId connection, const wire::PeerResponse& response)
@@ -218,6 +233,66 @@
     this->server.respond(connection, transport::statusLine(200), response.SerializeAsString());
 }
 
+void Peers::serveReserve(transport::ConnectionId connection, const wire::ReserveTokens& reserve, core::TimePoint now)
+{
+    if (this->draining) {
+        this->server.respond(connection, transport::statusLine(503), {});
+        return;
+    }
+    const auto hold = std::chrono::milliseconds(reserve.hold_ms());
+    const auto [found, added] = this->held.try_emplace(reserve.reservation());
+    auto& held = found->second;
+    held.waiter = connection;
+    held.answerBy = now + pendingAfter;
+    if (!added) {
+        if (held.answer)
+            this->answerReservation(held, encode(*held.answer));
+        return;
+    }
+    held.program = reserve.program();
+    held.tokens = reserve.tokens();
+    held.until = now + hold + settleMargin;
+    const BudgetRequest asked { reserve.program(), reserve.budget(), reserve.tokens(),
+        std::chrono::milliseconds(reserve.retention_ms()), hold };
+    this->budgets.reserve(
+        asked, now, [this, id = reserve.reservation()](BudgetAnswer answer) { this->reserved(id, answer); });
+}
+
+void Peers::reserved(const std::string& reservation, BudgetAnswer answer)
+{
+    auto& held = this->held.at(reservation);
+    held.answer = answer;
+    this->answerReservation(held, encode(answer));
+    if (!held.settled && answer == BudgetAnswer::Granted)
+        return;
+    const auto ended = std::move(this->held.extract(reservation).mapped());
+    if (answer == BudgetAnswer::Granted)
+        this->budgets.settle(ended.program, ended.tokens, 0, core::monotonicNow());
+}
+
+void Peers::answerReservation(Held& held, int answer)
+{
+    if (!held.waiter)
+        return;
+    wire::PeerResponse response;
+    response.set_budget(static_cast<wire::PeerResponse::BudgetAnswer>(answer));
+    this->respond(*std::exchange(held.waiter, std::nullopt), response);
+}
+
+void Peers::serveSettle(const wire::SettleTokens& settle, core::TimePoint now)
+{
+    const auto found = this->held.find(settle.reservation());
+    if (found == this->held.end())
+        return;
+    if (!found->second.answer) {
+        found->second.settled = true;
+        return;
+    }
+    const auto held = std::move(this->held.extract(found).mapped());
+    if (held.answer == BudgetAnswer::Granted)
+        this->budgets.settle(held.program, held.tokens, settle.used(), now);
+}
+
 void Peers::serve(transport::ConnectionId connection, const transport::Request& request, core::TimePoint now)
 {
     wire::PeerRequest message;
@@ -227,23 +302,11 @@
         return;
     }
     switch (message.request_case()) {
-    case wire::PeerRequest::kReserve: {
-        if (this->draining) {
-            this->server.respond(connection, transport::statusLine(503), {});
-            return;
-        }
-        const auto& reserve = message.reserve();
-        const BudgetRequest asked { reserve.program(), reserve.budget(), reserve.tokens(),
-            std::chrono::milliseconds(reserve.retention_ms()) };
-        this->budgets.reserve(asked, now, [this, connection](BudgetAnswer answer) {
-            wire::PeerResponse response;
-            response.set_budget(encode(answer));
-            this->respond(connection, response);
-        });
+    case wire::PeerRequest::kReserve:
+        this->serveReserve(connection, message.reserve(), now);
         return;
-    }
     case wire::PeerRequest::kSettle:
-        this->budgets.settle(message.settle().program(), message.settle().reserved(), message.settle().used(), now);
+        this->serveSettle(message.settle(), now);
         break;
     case wire::PeerRequest::kLoad: {
         wire::PeerResponse response;
@@ -258,6 +321,11 @@
     case wire::PeerRequest::kOffer:
         this->histories.keep(decode(message.offer()));
         break;
+    case wire::PeerRequest::kTransaction:
+    case wire::PeerRequest::kRead:
+        this->relays.serve(
+            message, [this, connection](const wire::PeerResponse& response) { this->respond(connection, response); });
+        return;
     case wire::PeerRequest::REQUEST_NOT_SET:
         break;
     }
--- a/source/gateway/Peers.h
+++ b/source/gateway/Peers.h
@@ -2,13 +2,14 @@
 
 #include "gateway/Budgets.h"
 #include "gateway/Histories.h"
+#include "gateway/PeerLink.h"
+#include "gateway/RelayServer.h"
 #include "gateway/Roster.h"
-#include "transport/ClientPool.h"
 #include "transport/Server.h"
 
 namespace lagoontiller::gateway::wire {
-class PeerRequest;
-class PeerResponse;
+class ReserveTokens;
+class SettleTokens;
 } // namespace lagoontiller::gateway::wire
 
 namespace lagoontiller::gateway {
@@ -18,9 +19,21 @@
     BudgetAnswer answer = BudgetAnswer::Unavailable;
     /// \brief Address of the peer whose share covers the turn; empty for this node.
     std::string peer;
+    /// \brief Name of the reservation at the peer.
+    std::string id;
     std::uint64_t tokens = 0;
 };
 
+/// \brief What the exchange with the other nodes works with; all of it outlives the exchange.
+struct PeerParts {
+    PeerLink& link;
+    transport::Server& server;
+    Budgets& budgets;
+    Histories& histories;
+    Roster& roster;
+    RelayServer& relays;
+};
+
 /// \brief Shares budgets and histories among the nodes of a zone.
 ///
 /// Every program has a home, the live node of the zone that rendezvous hashing prefers for its id. The home's share of
@@ -30,8 +43,11 @@
 /// slower. A home that does not answer is left out for `suspectTime`.
 class Peers {
 public:
-    Peers(
-        transport::ClientPool& pool, transport::Server& server, Budgets& budgets, Histories& histories, Roster& roster);
+    explicit Peers(PeerParts parts);
+
+    /// \brief Answers peers whose reservation waits for the store, and settles reservations that peers did not settle
+    /// in time, as used in full; due every `tickInterval` of the gateway.
+    void tick(core::TimePoint now);
 
     void reserve(const BudgetRequest& request, core::TimePoint now, std::function<void(Reservation)> done);
     void settle(const std::string& program, const Reservation& reservation, std::uint64_t used, core::TimePoint now);
@@ -51,21 +67,51 @@
     void serve(transport::ConnectionId connection, const transport::Request& request, core::TimePoint now);
 
 private:
-    using Answered = std::function<void(const wire::PeerResponse*)>;
+    /// \brief A reservation that this node made for a peer.
+    struct Held {
+        std::string program;
+        std::uint64_t tokens = 0;
+        core::TimePoint until {};
+        /// \brief Nothing while the budget waits for the store.
+        std::optional<BudgetAnswer> answer;
+        /// \brief Connection on which the peer waits for the answer, and the time by which it gets one.
+        std::optional<transport::ConnectionId> waiter;
+        core::TimePoint answerBy {};
+        /// \brief The peer settled it before it was granted.
+        bool settled = false;
+    };
+    /// \brief A reservation that this node asks a home for.
+    struct Asking {
+        BudgetRequest request;
+        std::string home;
+        std::string id;
+        int homes = 0;
+        core::TimePoint giveUpAt {};
+        std::function<void(Reservation)> done;
+    };
 
     [[nodiscard]] std::string homeOf(const std::string& program, core::TimePoint now);
-    void ask(const std::string& peer, const wire::PeerRequest& request, Answered done);
     void respond(transport::ConnectionId connection, const wire::PeerResponse& response);
-    void reserveAt(
-        const std::string& home, const BudgetRequest& request, int tries, std::function<void(Reservation)> done);
+    void reserveAt(const std::string& home, const std::shared_ptr<Asking>& asking);
+    void askReservation(const std::shared_ptr<Asking>& asking);
     void reserveHere(const BudgetRequest& request, core::TimePoint now, std::function<void(Reservation)> done);
+    void settleAt(const std::string& peer, const std::string& reservation, std::uint64_t used);
+    void serveReserve(transport::ConnectionId connection, const wire::ReserveTokens& reserve, core::TimePoint now);
+    void reserved(const std::string& reservation, BudgetAnswer answer);
+    /// \brief `answer` is a wire::PeerResponse::BudgetAnswer.
+    void answerReservation(Held& held, int answer);
+    void serveSettle(const wire::SettleTokens& settle, core::TimePoint now);
 
-    transport::ClientPool& pool;
+    PeerLink& link;
     transport::Server& server;
     Budgets& budgets;
     Histories& histories;
     Roster& roster;
-    std::unordered_map<std::string, core::TimePoint> suspectUntil;
+    RelayServer& relays;
+    std::unordered_map<std::string, Held> held;
+    /// \brief First part of the names of this process's reservations.
+    std::string incarnation;
+    std::uint64_t lastReservation = 0;
     bool draining = false;
 };
 
--- /dev/null
+++ b/source/gateway/RelayServer.cpp
@@ -0,0 +1,32 @@
+#include "gateway/RelayServer.h"
+
+#include "gateway/impl/RelayMessages.h"
+
+namespace lagoontiller::gateway {
+
+void RelayServer::serve(const wire::PeerRequest& request, Respond respond)
+{
+    if (this->contact.failing()) {
+        wire::PeerResponse response;
+        response.mutable_relayed()->set_outcome(wire::RelayedAnswer::NOT_DONE);
+        respond(response);
+        return;
+    }
+    if (request.has_transaction()) {
+        this->store.transact(impl::decodeTransaction(request.transaction()), this->contact.callTimeout(),
+            [respond = std::move(respond)](const StoreResult<TransactionResult>& result) {
+                wire::PeerResponse response;
+                *response.mutable_relayed() = impl::encodeAnswer(result);
+                respond(response);
+            });
+        return;
+    }
+    this->store.read(impl::decodeRange(request.read()), this->contact.callTimeout(),
+        [respond = std::move(respond)](const StoreResult<RowPage>& result) {
+            wire::PeerResponse response;
+            *response.mutable_relayed() = impl::encodeAnswer(result);
+            respond(response);
+        });
+}
+
+} // namespace lagoontiller::gateway
--- /dev/null
+++ b/source/gateway/RelayedStore.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "gateway/PeerLink.h"
+#include "gateway/Roster.h"
+
+namespace lagoontiller::gateway {
+
+/// \brief The store as this node reaches it: directly or, while it has lost the contact, through a peer of its zone.
+///
+/// The store may turn away some nodes and serve the others. Calls that were not done go to a peer at once; a call that
+/// was not answered may have been done and is left to its caller, which knows whether it may be repeated. Watches are
+/// not relayed: a node with an old view of the configuration leaves the entry answers instead.
+class RelayedStore : public RowStore {
+public:
+    RelayedStore(RowStore& direct, StoreContact& contact, PeerLink& link, const Roster& roster);
+
+    void transact(RowTransaction transaction, core::Duration timeout,
+        std::function<void(StoreResult<TransactionResult>)> done) override;
+    void read(RowRange range, core::Duration timeout, std::function<void(StoreResult<RowPage>)> done) override;
+    void watch(const std::string& table, std::uint64_t after, core::Duration wait,
+        std::function<void(StoreResult<RowPage>)> done) override;
+
+private:
+    using Relayed = std::function<void(const wire::PeerResponse*)>;
+
+    /// \brief Asks peers in turn until one has contact to the store.
+    void relay(const std::shared_ptr<wire::PeerRequest>& request, std::vector<std::string> peers, Relayed done);
+    [[nodiscard]] std::vector<std::string> choosePeers(core::TimePoint now);
+
+    RowStore& direct;
+    StoreContact& contact;
+    PeerLink& link;
+    const Roster& roster;
+    std::size_t nextPeer = 0;
+};
+
+} // namespace lagoontiller::gateway
--- a/source/gateway/Roster.cpp
+++ b/source/gateway/Roster.cpp
@@ -11,17 +11,21 @@
 namespace {
 
 constexpr auto table = "nodes";
-/// \brief Interval of the heartbeat; a fifth of the longest time that callers keep an address (5 s).
-constexpr core::Duration beatInterval = std::chrono::milliseconds(1'000);
+/// \brief Shortest interval of the heartbeat; a fifth of the longest time that callers keep an address (5 s).
+constexpr core::Duration shortestInterval = std::chrono::milliseconds(1'000);
+/// \brief Heartbeats per second of all nodes together: a quarter of the writes that the smallest store takes (800).
+constexpr std::size_t beatsPerSecond = 200;
 /// \brief The same while the store does not answer: the heartbeat is also the probe for its return.
 constexpr core::Duration lostInterval = std::chrono::milliseconds(300);
-/// \brief Two missed heartbeats and the time of a reading.
-constexpr core::Duration deadAfter = std::chrono::milliseconds(2'600);
+/// \brief Two missed heartbeats and the time of a reading, in tenths of the interval.
+constexpr int deadAfterTenths = 26;
 
+/// \brief Silence after which a node's row is removed; a node that comes back writes it again.
+constexpr core::Duration removeAfter = std::chrono::minutes(5);
 /// \brief Heartbeats between two readings of another zone's part, which only serve callers of zones without nodes.
 constexpr std::uint32_t beatsPerOtherZone = 4;
 
-std::string encode(const NodeEntry& entry, std::uint64_t heartbeat)
+std::string encode(const NodeEntry& entry, std::uint64_t heartbeat, core::Duration interval)
 {
     wire::NodeRecord record;
     record.set_name(entry.name);
@@ -31,6 +35,7 @@
     record.set_peer_address(entry.peerAddress);
     record.set_ready(entry.ready);
     record.set_heartbeat(heartbeat);
+    record.set_interval_ms(static_cast<std::uint64_t>(interval.count() / 1'000));
     return record.SerializeAsString();
 }
 
@@ -68,7 +73,9 @@
     this->leaving = true;
     this->timer.cancel();
     RowTransaction transaction;
-    transaction.removes.push_back({ table, this->self.zone, this->self.name });
+    const RowKey key { table, this->self.zone, this->self.name };
+    transaction.conditions.push_back({ key, this->ownVersion });
+    transaction.removes.push_back(key);
     this->store.transact(
         std::move(transaction), this->contact.callTimeout(), [](const StoreResult<TransactionResult>& result) {
             if (!result)
@@ -88,7 +95,7 @@
             this->readPart(this->zones[this->nextZone]);
     }
     std::uniform_int_distribution<int> jitter(-100, 100);
-    const auto interval = this->contact.lost() ? lostInterval : beatInterval;
+    const auto interval = this->contact.lost() ? lostInterval : beatInterval(this->seen.size());
     this->timer.expires_after(interval + std::chrono::milliseconds(jitter(this->random)));
     this->timer.async_wait([this](asio::error_code error) {
         if (!error)
@@ -101,11 +108,13 @@
     if (this->leaving)
         return;
     RowTransaction transaction;
-    transaction.puts.push_back(
-        { { table, this->self.zone, this->self.name }, encode(this->self, ++this->heartbeat), 0, false });
+    transaction.puts.push_back({ { table, this->self.zone, this->self.name },
+        encode(this->self, ++this->heartbeat, beatInterval(this->seen.size())), 0, false });
     this->store.transact(
-        std::move(transaction), this->contact.callTimeout(), [](const StoreResult<TransactionResult>&) {
-            // The next heartbeat repeats it; the contact logs the failure.
+        std::move(transaction), this->contact.callTimeout(), [this](const StoreResult<TransactionResult>& result) {
+            // The next heartbeat repeats a failed one; the contact logs the failure.
+            if (result)
+                this->ownVersion = result->version;
         });
 }
 
@@ -133,22 +142,37 @@
     }
     std::erase_if(this->seen,
         [&](const auto& entry) { return entry.second.entry.zone == zone && !present.contains(entry.first); });
-    // After a pause without readings, heartbeats get a full interval again before they count as missed.
-    const auto allowance = deadAfter
-        + (zone == this->self.zone ? core::Duration::zero()
-                                   : beatInterval * static_cast<int>(this->zones.size() * beatsPerOtherZone));
+    const auto otherZone = zone == this->self.zone ? 0 : static_cast<int>(this->zones.size() * beatsPerOtherZone);
     for (auto& [name, seenNode] : this->seen) {
         if (seenNode.entry.zone != zone)
             continue;
+        const auto allowance = seenNode.interval * deadAfterTenths / 10 + seenNode.interval * otherZone;
+        // After a pause without readings, heartbeats get a full interval again before they count as missed.
         if (gap > allowance)
-            seenNode.changedAt = std::max(seenNode.changedAt, now - beatInterval);
+            seenNode.changedAt = std::max(seenNode.changedAt, now - seenNode.interval);
         const bool alive = now - seenNode.changedAt <= allowance;
         if (alive != seenNode.alive)
             core::logInfo("node_liveness").with("peer", name).with("alive", alive ? "yes" : "no");
         seenNode.alive = alive;
+        if (now - seenNode.changedAt > removeAfter)
+            this->removeDead(name, seenNode);
     }
 }
 
+void Roster::removeDead(const std::string& name, const Seen& node)
+{
+    const RowKey key { table, node.entry.zone, name };
+    RowTransaction transaction;
+    transaction.conditions.push_back({ key, node.version });
+    transaction.removes.push_back(key);
+    this->store.transact(
+        std::move(transaction), this->contact.callTimeout(), [name](const StoreResult<TransactionResult>& result) {
+            core::logInfo("dead_node_removed")
+                .with("peer", name)
+                .with("removed", result && result->applied ? "yes" : "no");
+        });
+}
+
 void Roster::note(const Row& row, core::TimePoint now)
 {
     wire::NodeRecord record;
@@ -161,12 +185,12 @@
         return;
     node.version = row.version;
     node.changedAt = now;
+    node.interval = std::max<core::Duration>(shortestInterval, std::chrono::milliseconds(record.interval_ms()));
     node.entry
         = { record.name(), record.zone(), record.region(), record.address(), record.peer_address(), record.ready() };
 }
 
-std::vector<std::string> Roster::addressesFor(
-    const std::string& zone, const std::string& region, std::size_t most) const
+std::vector<std::string> Roster::addressesFor(const std::string& zone, const std::string& region, std::size_t most)
 {
     std::vector<std::string> inZone;
     std::vector<std::string> inRegion;
@@ -186,11 +210,19 @@
             add(node.entry);
     }
     auto& chosen = !inZone.empty() ? inZone : (!inRegion.empty() ? inRegion : all);
-    if (chosen.size() > most)
+    if (chosen.size() > most) {
+        std::shuffle(chosen.begin(), chosen.end(), this->random);
         chosen.resize(most);
+    }
     return chosen;
 }
 
+core::Duration Roster::beatInterval(std::size_t nodes) noexcept
+{
+    constexpr core::Duration second = std::chrono::seconds(1);
+    return std::max<core::Duration>(shortestInterval, second * nodes / beatsPerSecond);
+}
+
 std::vector<ZonePeer> Roster::zonePeers() const
 {
     std::vector<ZonePeer> peers;
--- a/source/gateway/Roster.h
+++ b/source/gateway/Roster.h
@@ -31,9 +31,10 @@
 /// \brief The nodes of the system, which find each other through heartbeat rows in the store.
 ///
 /// Each zone is one part, so that a node writes one row and reads one part per interval, whatever the number of
-/// zones; the parts of other zones are read more rarely, for callers whose zone has no node. A node whose heartbeat
-/// does not change for `deadAfter` of this node's readings is left out. While the store cannot be read, the last view
-/// holds.
+/// zones; the parts of other zones are read more rarely, for callers whose zone has no node. The interval grows with
+/// the number of nodes, so that heartbeats stay a fixed part of the store's rate; each row names the interval of its
+/// node. A node whose heartbeat does not change for two and a half of its intervals is left out. While the store cannot
+/// be read, the last view holds.
 class Roster {
 public:
     Roster(asio::io_context& context, RowStore& store, StoreContact& contact, NodeEntry self,
@@ -42,22 +43,25 @@
     void start();
     /// \brief Announces the state at once.
     void setReady(bool ready);
-    /// \brief Removes the own row; the node is about to end.
+    /// \brief Removes the own row, unless it was written by a later process; the node is about to end.
     void leave();
 
     /// \brief Addresses for a caller: ready nodes of its zone, else of its region, else all. This node is the last
-    /// resort while it is ready itself.
+    /// resort while it is ready itself. Of more than `most` nodes each call names others.
     [[nodiscard]] std::vector<std::string> addressesFor(
-        const std::string& zone, const std::string& region, std::size_t most) const;
+        const std::string& zone, const std::string& region, std::size_t most);
     /// \brief Live nodes of this node's zone that serve callers, and this node.
     [[nodiscard]] std::vector<ZonePeer> zonePeers() const;
     /// \brief Ready nodes in this node's zone, this one included.
     [[nodiscard]] std::size_t zoneSize() const;
+    /// \brief Time between two heartbeats of a node when `nodes` share the store.
+    [[nodiscard]] static core::Duration beatInterval(std::size_t nodes) noexcept;
 
 private:
     struct Seen {
         NodeEntry entry;
         std::uint64_t version = 0;
+        core::Duration interval {};
         core::TimePoint changedAt {};
         bool alive = true;
     };
@@ -67,6 +71,8 @@
     void readPart(const std::string& zone);
     void partRead(const std::string& zone, const StoreResult<RowPage>& page);
     void note(const Row& row, core::TimePoint now);
+    /// \brief Removes the row of a node that has been silent for `removeAfter`.
+    void removeDead(const std::string& name, const Seen& node);
 
     RowStore& store;
     StoreContact& contact;
@@ -77,6 +83,7 @@
     /// \brief Last time at which each zone's part was read.
     std::map<std::string, core::TimePoint> readAt;
     std::uint64_t heartbeat = 0;
+    std::uint64_t ownVersion = 0;
     std::size_t nextZone = 0;
     std::uint32_t beats = 0;
     bool leaving = false;
--- a/source/gateway/StoreContact.cpp
+++ b/source/gateway/StoreContact.cpp
@@ -15,6 +15,9 @@
 /// \brief Bound of the doubling by unanswered calls, so that the return of a silent store is noticed within a second.
 constexpr core::Duration longestUsual = std::chrono::milliseconds(100);
 constexpr core::Duration longestTimeout = std::chrono::milliseconds(1'500);
+/// \brief Time after which peers without contact are asked again; the interval of the heartbeats that notice its
+/// return.
+constexpr core::Duration relayRetry = std::chrono::milliseconds(300);
 
 std::string_view text(StoreFailure failure) noexcept
 {
@@ -39,6 +42,7 @@
         core::logInfo("store_regained").with("after_ms", this->everFailed ? (now - this->lostAt).count() / 1'000 : 0);
     }
     this->isLost = false;
+    this->relayDeniedAt.reset();
     this->succeededAt = now;
     this->usual = (this->usual * 7 + took) / 8;
 }
@@ -69,7 +73,22 @@
 
 core::Duration StoreContact::awayFor(core::TimePoint now) const noexcept
 {
-    return this->isLost && this->everFailed ? now - this->lostAt : core::Duration::zero();
+    if (!this->failing() || this->relayMayWork(now))
+        return core::Duration::zero();
+    return now - this->lostAt;
+}
+
+void StoreContact::relayEnded(bool reached, core::TimePoint now)
+{
+    const bool worked = !this->relayDeniedAt.has_value();
+    if (reached != worked)
+        core::logInfo("store_relay").with("state", reached ? "works" : "no_peer_has_contact");
+    this->relayDeniedAt = reached ? std::nullopt : std::optional(now);
+}
+
+bool StoreContact::relayMayWork(core::TimePoint now) const noexcept
+{
+    return this->relays && (!this->relayDeniedAt || now - *this->relayDeniedAt > relayRetry);
 }
 
 bool StoreContact::troubledWithin(core::Duration span, core::TimePoint now) const noexcept
--- a/source/gateway/StoreContact.h
+++ b/source/gateway/StoreContact.h
@@ -2,6 +2,8 @@
 
 #include "gateway/RowStore.h"
 
+#include <optional>
+
 namespace lagoontiller::gateway {
 
 /// \brief What this node knows about its contact with the store.
@@ -14,7 +16,15 @@
 
     /// \brief The last answered call failed.
     [[nodiscard]] bool lost() const noexcept { return this->isLost; }
-    /// \brief Time since the first of the failed calls since the last success; 0 while there is contact.
+    /// \brief The same, once there was any call.
+    [[nodiscard]] bool failing() const noexcept { return this->isLost && this->everFailed; }
+    /// \brief Peers may do calls for this node: the store counts as away only when they cannot reach it either.
+    void enableRelays() noexcept { this->relays = true; }
+    /// \brief A call through peers ended; `reached` says whether one of them has contact to the store.
+    void relayEnded(bool reached, core::TimePoint now);
+
+    /// \brief Time since the first of the failed calls since the last success; 0 while there is contact, or while peers
+    /// may have it.
     [[nodiscard]] core::Duration awayFor(core::TimePoint now) const noexcept;
     /// \brief Whether calls failed within `span`; rows that vanish then may only have lapsed.
     [[nodiscard]] bool troubledWithin(core::Duration span, core::TimePoint now) const noexcept;
@@ -25,6 +35,11 @@
     [[nodiscard]] core::TimePoint lastSuccess() const noexcept { return this->succeededAt; }
 
 private:
+    [[nodiscard]] bool relayMayWork(core::TimePoint now) const noexcept;
+
+    bool relays = false;
+    /// \brief The peers that were asked last had no contact either.
+    std::optional<core::TimePoint> relayDeniedAt;
     bool isLost = true;
     bool everFailed = false;
     core::TimePoint succeededAt {};
--- /dev/null
+++ b/source/gateway/impl/TurnRows.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "gateway/Histories.h"
+
+/// \brief Turns as rows of the store.
+namespace lagoontiller::gateway::impl {
+
+/// \brief Parts over which turns are spread; the store runs 300 transactions a second and part.
+inline constexpr std::uint64_t turnParts = 16;
+inline constexpr auto turnTable = "turns";
+
+/// \brief Place of the turn's first row, by which it is found.
+[[nodiscard]] RowKey turnKey(const std::string& id);
+/// \brief Key behind the last row of the turn.
+[[nodiscard]] std::string turnEnd(const std::string& id);
+/// \brief The rows of the turn, the first row last: a turn exists once that one is written. Nothing when the turn is
+/// too large.
+[[nodiscard]] std::vector<Row> encodeTurn(const Turn& turn, std::size_t rowBytes);
+/// \brief The turn; null when its rows cannot be read.
+[[nodiscard]] std::shared_ptr<const Turn> decodeTurn(const std::string& id, const std::vector<Row>& rows);
+/// \brief Time of the store's clock in ms until which any row of the table of turns is kept.
+[[nodiscard]] std::optional<std::uint64_t> turnKeptUntil(const Row& row);
+
+} // namespace lagoontiller::gateway::impl
--- a/tests/GatewayBudgetTests.cpp
+++ b/tests/GatewayBudgetTests.cpp
@@ -184,4 +184,18 @@
     EXPECT_EQ(world.store.writes, 1);
 }
 
+// Guards against a program that cannot go on after its nodes were killed because their unused shares hold its budget.
+TEST(GatewayBudget, LeavesRoomForAProgramWhoseNodesWereKilledTwice)
+{
+    BudgetWorld world(1);
+    for (int start = 0; start < 3; ++start) {
+        EXPECT_EQ(world.reserve(0), BudgetAnswer::Granted) << start;
+        world.settle(0, 30);
+        EXPECT_EQ(world.reserve(0), BudgetAnswer::Granted) << start;
+        world.settle(0, 30);
+        world.restart(0);
+    }
+    EXPECT_EQ(world.reserve(0), BudgetAnswer::Granted);
+}
+
 } // namespace lagoontiller::tests
--- a/tests/RosterTests.cpp
+++ b/tests/RosterTests.cpp
@@ -87,4 +87,31 @@
     EXPECT_EQ(first.addressesFor("z3", "r2", 64), std::vector<std::string> { "a:1" });
 }
 
+// Guards against nodes beyond the most that an answer may name, which no caller would ever be sent to.
+TEST(Roster, NamesOtherNodesOfALargeZoneInEachAnswer)
+{
+    RosterWorld world;
+    auto& first = world.add("a", "z1", "r1");
+    for (const auto* name : { "b", "c", "d", "e", "f" })
+        world.add(name, "z1", "r1");
+    ASSERT_TRUE(world.until([&first] { return first.addressesFor("z1", "r1", 64).size() == 6; }));
+    std::set<std::string> named;
+    for (int question = 0; question < 100; ++question) {
+        const auto addresses = first.addressesFor("z1", "r1", 2);
+        EXPECT_EQ(addresses.size(), 2U);
+        named.insert(addresses.begin(), addresses.end());
+    }
+    EXPECT_EQ(named.size(), 6U);
+}
+
+// Guards against heartbeats that use up the store's rate as the nodes grow in number.
+TEST(Roster, HeartbeatsOfAllNodesStayAPartOfTheStoresRate)
+{
+    constexpr double writesPerSecond = 800;
+    for (const std::size_t nodes : { 1U, 12U, 61U, 300U, 780U }) {
+        const auto seconds = std::chrono::duration<double>(gateway::Roster::beatInterval(nodes)).count();
+        EXPECT_LE(static_cast<double>(nodes) / seconds, writesPerSecond / 4) << nodes;
+    }
+}
+
 } // namespace lagoontiller::tests
--- a/tests/support/FakeRowStore.h
+++ b/tests/support/FakeRowStore.h
@@ -60,7 +60,7 @@
             return this->fail(std::move(done), gateway::StoreFailure::NotDone);
         gateway::RowPage page;
         page.version = this->staleVersion.value_or(this->version);
-        page.storeMs = 1;
+        page.storeMs = this->now;
         for (const auto& [key, row] : this->rows) {
             const bool inRange = key.table == range.table && key.part == range.part && key.key >= range.from
                 && (range.to.empty() || key.key < range.to);
@@ -120,6 +120,8 @@
     StoreFault fault = StoreFault::None;
     /// \brief Version that reads claim, for lists that are behind.
     std::optional<std::uint64_t> staleVersion;
+    /// \brief The store's clock in milliseconds.
+    std::uint64_t now = 1;
     int writes = 0;
     int reads = 0;
     std::map<gateway::RowKey, gateway::Row> rows;
--- a/tests/support/GatewayWorld.h
+++ b/tests/support/GatewayWorld.h
@@ -34,7 +34,9 @@
                       transport::ConnectionId connection) { this->gateway.gone(connection, core::monotonicNow()); } })
         , peerServer(this->context, { [](auto, auto&&) {}, [](auto) {} })
         , roster(this->context, this->observed, this->contact, { "node", "z", "r", "", "", true }, { "z" })
-        , peers(this->endpointPool, this->peerServer, this->budgets, this->histories, this->roster)
+        , peerLink(this->endpointPool)
+        , relayServer(this->observed, this->contact)
+        , peers({ this->peerLink, this->peerServer, this->budgets, this->histories, this->roster, this->relayServer })
         , losses(this->context, this->endpointPool, this->observed, this->contact, this->expiry)
         , gateway({ this->context, this->callers, this->endpointPool, this->directory, this->histories, this->peers,
                       this->losses, this->contact, this->metrics },
@@ -108,6 +110,8 @@
     transport::Server peerServer;
     core::MetricRegistry metrics;
     gateway::Roster roster;
+    gateway::PeerLink peerLink;
+    gateway::RelayServer relayServer;
     gateway::Peers peers;
     gateway::Losses losses;
     gateway::Gateway gateway;
