--- a/source/gateway/RelayedStore.cpp
+++ b/source/gateway/RelayedStore.cpp
@@ -7,14 +7,9 @@
 
 namespace {
 
-/// \brief Peers that are asked for one call: the store seldom turns away more than a third of the nodes, so that two
-/// more are without contact at most once in nine calls.
-constexpr std::size_t mostPeers = 2;
-
-constexpr bool wasNotDone(StoreFailure failure) noexcept
-{
-    return failure == StoreFailure::NotDone;
-}
+/// \brief Peers that are asked for one call: the store turns away a third to a half of the nodes, so that three more
+/// are without contact at most once in eight calls.
+constexpr std::size_t mostPeers = 3;
 
 } // namespace
 
@@ -32,23 +27,19 @@
 {
     auto request = std::make_shared<wire::PeerRequest>();
     *request->mutable_transaction() = impl::encodeTransaction(transaction);
-    const auto relayed = [this, done](const wire::PeerResponse* response) {
-        if (response == nullptr) {
-            done(tl::unexpected(StoreFailure::Unknown));
-            return;
-        }
-        done(impl::decodeTransactionResult(response->relayed()));
-    };
+    const auto answered = [done](const wire::RelayedAnswer& answer) { done(impl::decodeTransactionResult(answer)); };
     if (this->contact.failing()) {
-        this->relay(request, this->choosePeers(core::monotonicNow()), relayed);
+        this->relay(request, answered, [this, transaction = std::move(transaction), timeout, done]() mutable {
+            this->direct.transact(std::move(transaction), timeout, std::move(done));
+        });
         return;
     }
     this->direct.transact(
-        std::move(transaction), timeout, [this, request, relayed, done](StoreResult<TransactionResult> result) {
-            if (!result && wasNotDone(result.error()))
-                this->relay(request, this->choosePeers(core::monotonicNow()), relayed);
-            else
+        std::move(transaction), timeout, [this, request, answered, done](StoreResult<TransactionResult> result) {
+            if (result || result.error() != StoreFailure::NotDone)
                 done(std::move(result));
+            else
+                this->relay(request, answered, [done] { done(tl::unexpected(StoreFailure::NotDone)); });
         });
 }
 
@@ -56,22 +47,19 @@
 {
     auto request = std::make_shared<wire::PeerRequest>();
     *request->mutable_read() = impl::encodeRange(range);
-    const auto relayed = [done](const wire::PeerResponse* response) {
-        if (response == nullptr)
-            done(tl::unexpected(StoreFailure::Unknown));
-        else
-            done(impl::decodePage(response->relayed()));
-    };
+    const auto answered = [done](const wire::RelayedAnswer& answer) { done(impl::decodePage(answer)); };
     if (this->contact.failing()) {
-        this->relay(request, this->choosePeers(core::monotonicNow()), relayed);
+        this->relay(request, answered, [this, range = std::move(range), timeout, done]() mutable {
+            this->direct.read(std::move(range), timeout, std::move(done));
+        });
         return;
     }
     // A read may be repeated whatever became of it.
-    this->direct.read(std::move(range), timeout, [this, request, relayed, done](StoreResult<RowPage> result) {
-        if (!result && result.error() != StoreFailure::Overloaded)
-            this->relay(request, this->choosePeers(core::monotonicNow()), relayed);
-        else
+    this->direct.read(std::move(range), timeout, [this, request, answered, done](StoreResult<RowPage> result) {
+        if (result || result.error() == StoreFailure::Overloaded)
             done(std::move(result));
+        else
+            this->relay(request, answered, [done] { done(tl::unexpected(StoreFailure::NotDone)); });
     });
 }
 
@@ -81,32 +69,37 @@
     this->direct.watch(table, after, wait, std::move(done));
 }
 
-void RelayedStore::relay(
-    const std::shared_ptr<wire::PeerRequest>& request, std::vector<std::string> peers, Relayed done)
+void RelayedStore::relay(const std::shared_ptr<wire::PeerRequest>& request, Answered answered, Denied denied)
+{
+    this->askNext(std::make_shared<Relay>(
+        Relay { request, this->choosePeers(core::monotonicNow()), std::move(answered), std::move(denied) }));
+}
+
+void RelayedStore::askNext(const std::shared_ptr<Relay>& relay)
 {
-    if (peers.empty()) {
+    if (relay->peers.empty()) {
         this->contact.relayEnded(false, core::monotonicNow());
-        wire::PeerResponse response;
-        response.mutable_relayed()->set_outcome(wire::RelayedAnswer::NOT_DONE);
-        done(&response);
+        relay->denied();
         return;
     }
-    const auto peer = peers.back();
-    peers.pop_back();
-    this->link.ask(peer, *request, [this, request, peers = std::move(peers), done](const wire::PeerResponse* response) {
-        // A peer that did not answer may have done the call.
+    const auto peer = relay->peers.back();
+    relay->peers.pop_back();
+    this->link.ask(peer, *relay->request, [this, relay](const wire::PeerResponse* response) {
         if (response == nullptr) {
-            done(nullptr);
+            // The peer may have done the call.
+            wire::RelayedAnswer unknown;
+            unknown.set_outcome(wire::RelayedAnswer::UNKNOWN);
+            relay->answered(unknown);
             return;
         }
         if (response->relayed().outcome() == wire::RelayedAnswer::NOT_DONE) {
-            this->relay(request, peers, done);
+            this->askNext(relay);
             return;
         }
         const auto now = core::monotonicNow();
         this->contact.relayEnded(true, now);
         this->contact.clock(response->relayed().store_ms(), now);
-        done(response);
+        relay->answered(response->relayed());
     });
 }
 
--- a/source/gateway/RelayedStore.h
+++ b/source/gateway/RelayedStore.h
@@ -3,12 +3,17 @@
 #include "gateway/PeerLink.h"
 #include "gateway/Roster.h"
 
+namespace lagoontiller::gateway::wire {
+class RelayedAnswer;
+} // namespace lagoontiller::gateway::wire
+
 namespace lagoontiller::gateway {
 
 /// \brief The store as this node reaches it: directly or, while it has lost the contact, through a peer of its zone.
 ///
 /// The store may turn away some nodes and serve the others. Calls that were not done go to a peer at once; a call that
-/// was not answered may have been done and is left to its caller, which knows whether it may be repeated. Watches are
+/// was not answered may have been done and is left to its caller, which knows whether it may be repeated. When no peer
+/// has contact the store may only be slow, and the call is made directly. Watches are
 /// not relayed: a node with an old view of the configuration leaves the entry answers instead.
 class RelayedStore : public RowStore {
 public:
@@ -21,10 +26,20 @@
         std::function<void(StoreResult<RowPage>)> done) override;
 
 private:
-    using Relayed = std::function<void(const wire::PeerResponse*)>;
-
-    /// \brief Asks peers in turn until one has contact to the store.
-    void relay(const std::shared_ptr<wire::PeerRequest>& request, std::vector<std::string> peers, Relayed done);
+    using Answered = std::function<void(const wire::RelayedAnswer&)>;
+    using Denied = std::function<void()>;
+
+    /// \brief A call that is offered to one peer after the other.
+    struct Relay {
+        std::shared_ptr<wire::PeerRequest> request;
+        std::vector<std::string> peers;
+        Answered answered;
+        Denied denied;
+    };
+
+    /// \brief Asks peers in turn until one has contact to the store; `denied` is called when none has.
+    void relay(const std::shared_ptr<wire::PeerRequest>& request, Answered answered, Denied denied);
+    void askNext(const std::shared_ptr<Relay>& relay);
     [[nodiscard]] std::vector<std::string> choosePeers(core::TimePoint now);
 
     RowStore& direct;
