Add a fault soak with real processes, and log and count what decides about a request

Change: scripts/soak runs gateways against stand-ins of the store and the endpoints, behind loopback links that delay, cut, reset and silence connections; signals stop, pause, kill and reload; the store loses, delays and forgets. New events budget_answered and history_loaded; counters of outcomes, failed and refused attempts; histograms of store calls and of the time to the first event.

--- /dev/null
+++ b/soak/nodes.py
@@ -0,0 +1,112 @@
+"""Gateway processes of the soak: settings, start, signals, restart."""
+
+import asyncio
+import os
+import signal
+import time
+
+from links import Link
+
+ZONES = {"east-1": "east", "west-1": "west"}
+STOP_GRACE_S = 4
+CONTACT_S = 4.0
+
+SETTINGS = """[node]
+name = {name}
+zone = {zone}
+region = {region}
+
+{zones}
+[listen]
+caller_address = {ip}:7101
+ready_address = {ip}:7102
+entry_address = {ip}:7103
+metrics_address = {ip}:7104
+peer_address = {ip}:7105
+
+[store]
+address = {store}
+
+[limits]
+memory_mb = 120
+stop_grace_s = {grace}
+; {note}
+"""
+
+
+class Node:
+    """One VM of the deployment: a gateway that is started again whenever it ends, and its links."""
+
+    def __init__(self, program, directory, name, zone, ip, store_place):
+        self.program = program
+        self.directory = directory
+        self.name = name
+        self.zone = zone
+        self.ip = ip
+        self.to_store = Link(store_place)
+        self.from_callers = Link((ip, 7101))
+        self.process = None
+        self.incarnation = 0
+        self.troubled_at = 0.0
+        self.notes = 0
+        self.keep = True
+
+    async def start(self, link_ip):
+        await self.to_store.start(link_ip, 7201)
+        await self.from_callers.start(link_ip, 7202)
+        self.write_settings()
+        await self.launch()
+
+    def write_settings(self):
+        """Writes the settings file with another comment, which changes nothing that matters."""
+        self.notes += 1
+        zones = "\n".join(f"[zone {zone}]\nregion = {region}\n" for zone, region in ZONES.items())
+        text = SETTINGS.format(name=self.name, zone=self.zone, region=ZONES[self.zone], zones=zones, ip=self.ip,
+                               store=self.to_store.address, grace=STOP_GRACE_S, note=f"revision {self.notes}")
+        temporary = f"{self.directory}/{self.name}.new"
+        with open(temporary, "w", encoding="utf-8") as file:
+            file.write(text)
+        os.replace(temporary, f"{self.directory}/{self.name}.ini")
+
+    async def launch(self):
+        self.incarnation += 1
+        with open(f"{self.directory}/{self.name}.log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.program, "gateway", "--settings", f"{self.directory}/{self.name}.ini", stdout=log, stderr=log)
+
+    @property
+    def running(self):
+        return self.process is not None and self.process.returncode is None
+
+    def send(self, number):
+        if self.running:
+            self.process.send_signal(number)
+
+    def troubled(self):
+        """Notes that the node was out of touch with the store or stood still just now."""
+        self.troubled_at = time.monotonic()
+
+    def in_touch(self, at):
+        return at - self.troubled_at > CONTACT_S
+
+    async def kill(self):
+        self.troubled()
+        self.send(signal.SIGKILL)
+        await self.process.wait()
+
+    async def stop(self):
+        """Stops the node as planned; returns its exit status, None when it had to be killed."""
+        self.send(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.process.wait(), STOP_GRACE_S + 0.5)
+            return self.process.returncode
+        except asyncio.TimeoutError:
+            await self.kill()
+            return None
+
+    async def freeze(self, seconds):
+        self.troubled()
+        self.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.troubled()
+        self.send(signal.SIGCONT)
--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -16,6 +16,21 @@
 /// \brief The same while no configuration is known yet (start-up).
 constexpr core::Duration retryAfterStart = std::chrono::milliseconds(500);
 
+std::string_view text(BudgetAnswer answer) noexcept
+{
+    switch (answer) {
+    case BudgetAnswer::Granted:
+        return "granted";
+    case BudgetAnswer::Exhausted:
+        return "exhausted";
+    case BudgetAnswer::Held:
+        return "held";
+    case BudgetAnswer::Unavailable:
+        return "unavailable";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 Gateway::Gateway(GatewayParts parts, Place place, std::uint64_t seed)
@@ -116,6 +131,14 @@
 
 void Gateway::budgetKnown(FlowId id, BudgetAnswer answer)
 {
+    const auto& flow = *this->find(id);
+    core::logInfo("budget_answered")
+        .with("id", flow.call.id)
+        .with("program", flow.call.program)
+        .with("answer", text(answer))
+        .with("tokens", flow.call.maximumOutputTokens)
+        .with("home", flow.reservation && !flow.reservation->peer.empty() ? flow.reservation->peer : "self")
+        .with("waited_ms", (core::monotonicNow() - flow.arrived).count() / 1'000);
     switch (answer) {
     case BudgetAnswer::Granted:
         this->find(id)->waitsForBudget = false;
@@ -153,6 +176,11 @@
         return;
     }
     flow->chain = std::move(*chain);
+    core::logInfo("history_loaded")
+        .with("id", flow->call.id)
+        .with("previous", flow->call.previousTurn)
+        .with("turns", flow->chain.size())
+        .with("waited_ms", (core::monotonicNow() - flow->arrived).count() / 1'000);
     std::size_t size = flow->call.body.size();
     for (const auto& turn : flow->chain)
         size += turn->input.size() + turn->output.size();
--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -220,6 +220,11 @@
                 : -1)
         .with("took_ms", took.count() / 1'000);
     const std::string name = flow.route ? flow.route->name : std::string("-");
+    this->parts.metrics.add("gateway_calls_total", { { "route", name }, { "outcome", std::string(outcome) } });
+    if (flow.firstEventAt.time_since_epoch().count() > 0) {
+        this->parts.metrics.observe("gateway_first_event_ms", { { "route", name } },
+            static_cast<double>((flow.firstEventAt - flow.arrived).count()) / 1'000);
+    }
     this->parts.metrics.observe("gateway_call_ms", { { "route", name }, { "status", std::to_string(status) } },
         static_cast<double>(took.count()) / 1'000);
     this->byConnection.erase(flow.connection);
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -155,6 +155,7 @@
             .with("id", flow->call.id)
             .with("endpoint", attempt.endpoint)
             .with("cause", text(end));
+        this->parts.metrics.add("gateway_attempts_failed_total", { { "cause", std::string(text(end)) } });
         flow->attempt.reset();
         this->dispatch(id, now);
         return;
@@ -175,6 +176,7 @@
         .with("id", flow.call.id)
         .with("endpoint", flow.attempt->endpoint)
         .with("status", flow.attempt->answer->status);
+    this->parts.metrics.add("gateway_attempts_refused_total", { { "service", flow.service->name } });
     this->parts.directory.refused(flow.attempt->endpoint, now);
     flow.attempt.reset();
     this->dispatch(flow.id, now);
@@ -197,6 +199,7 @@
         .with("cause", cause)
         .with("events", flow.events)
         .with("after_ms", (now - flow.attempt->sentAt).count() / 1'000);
+    this->parts.metrics.add("gateway_attempts_failed_total", { { "cause", std::string(cause) } });
     // A single broken answer may be the answer's fault: only its kind says that the process is lost.
     this->parts.directory.failed(
         flow.attempt->endpoint, kind == policy::FailureKind::Crashed ? policy::FailureKind::ServerError : kind, now);
--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -75,7 +75,7 @@
     , storePool(this->context)
     , endpointPool(this->context)
     , platformStore(std::make_unique<platform::StoreClient>(this->storePool, this->settings->storeAddress.text()))
-    , direct(*this->platformStore, this->contact)
+    , direct(*this->platformStore, this->contact, &this->metrics)
     , roster(this->context, this->direct, this->contact, selfEntry(*this->settings), zoneNames(*this->settings))
     , peerPool(this->context)
     , peerLink(this->peerPool)
--- a/source/gateway/StoreContact.cpp
+++ b/source/gateway/StoreContact.cpp
@@ -108,10 +108,18 @@
 
 namespace {
 
-template <typename Result> auto observe(StoreContact& contact, std::function<void(StoreResult<Result>)> done)
+template <typename Result>
+auto observe(StoreContact& contact, core::MetricRegistry* metrics, std::string call,
+    std::function<void(StoreResult<Result>)> done)
 {
-    return [&contact, done = std::move(done), started = core::monotonicNow()](StoreResult<Result> result) {
+    return [&contact, metrics, call = std::move(call), done = std::move(done), started = core::monotonicNow()](
+               StoreResult<Result> result) {
         const auto now = core::monotonicNow();
+        if (metrics != nullptr) {
+            const std::string outcome(result ? "done" : text(result.error()));
+            metrics->observe("gateway_store_call_ms", { { "call", call }, { "result", outcome } },
+                static_cast<double>((now - started).count()) / 1'000);
+        }
         if (result) {
             contact.succeeded(now - started, now);
             contact.clock(result->storeMs, now);
@@ -127,12 +135,13 @@
 void ObservedStore::transact(
     RowTransaction transaction, core::Duration timeout, std::function<void(StoreResult<TransactionResult>)> done)
 {
-    this->store.transact(std::move(transaction), timeout, observe(this->contact, std::move(done)));
+    this->store.transact(
+        std::move(transaction), timeout, observe(this->contact, this->metrics, "transact", std::move(done)));
 }
 
 void ObservedStore::read(RowRange range, core::Duration timeout, std::function<void(StoreResult<RowPage>)> done)
 {
-    this->store.read(std::move(range), timeout, observe(this->contact, std::move(done)));
+    this->store.read(std::move(range), timeout, observe(this->contact, this->metrics, "read", std::move(done)));
 }
 
 void ObservedStore::watch(
--- a/source/gateway/StoreContact.h
+++ b/source/gateway/StoreContact.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Metrics.h"
 #include "gateway/RowStore.h"
 
 #include <optional>
@@ -53,9 +54,11 @@
 /// \brief Passes calls to the store and notes how they end.
 class ObservedStore : public RowStore {
 public:
-    ObservedStore(RowStore& store, StoreContact& contact)
+    /// \brief `metrics` gets the time of each call by its kind and result; may be null.
+    ObservedStore(RowStore& store, StoreContact& contact, core::MetricRegistry* metrics = nullptr)
         : store(store)
         , contact(contact)
+        , metrics(metrics)
     {
     }
 
@@ -68,6 +71,7 @@
 private:
     RowStore& store;
     StoreContact& contact;
+    core::MetricRegistry* metrics;
 };
 
 } // namespace lagoontiller::gateway
--- a/tests/GatewayCallTests.cpp
+++ b/tests/GatewayCallTests.cpp
@@ -239,4 +239,15 @@
     EXPECT_EQ(world.ask("b")->status, 503);
 }
 
+// Guards against failures that no counter shows.
+TEST(GatewayCall, CountsOutcomesAndFailedAttempts)
+{
+    GatewayWorld world;
+    ScriptedEndpoint endpoint(world.context, { { "", Then::Reset } });
+    world.serve(routeOf(CallKind::NonIdempotent), { &endpoint });
+    EXPECT_EQ(world.ask("a")->status, 502);
+    EXPECT_EQ(world.metrics.value("gateway_attempts_failed_total", { { "cause", "connection_broken" } }), 1);
+    EXPECT_EQ(world.metrics.value("gateway_calls_total", { { "route", "r" }, { "outcome", "connection_broken" } }), 1);
+}
+
 } // namespace lagoontiller::tests
