Use fresh connections where endpoints forget kept ones

Test: GatewayCallTests UsesNewConnectionsWhereKeptOnesWereForgotten failed before (the second call after the reset used the kept connection).

--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -62,6 +62,8 @@
     void dispatch(FlowId id, core::TimePoint now);
     void send(Flow& flow, const PlacementDecision& decision, core::TimePoint now);
     void attemptEnded(FlowId id, transport::ExchangeEnd end);
+    /// \brief Longest rest of a kept connection that may carry the call.
+    [[nodiscard]] core::Duration longestIdle(const Flow& flow, core::TimePoint now) const;
     void attemptRefused(Flow& flow, core::TimePoint now);
     void attemptFailed(Flow& flow, policy::FailureKind kind, std::string_view cause, core::TimePoint now);
     void suspectLoss(const Flow& flow);
@@ -89,6 +91,8 @@
     std::shared_ptr<const Configuration> configuration;
     RouteTable routes;
     std::unordered_map<std::string, std::shared_ptr<const Service>> services;
+    /// \brief Per service the last time at which a kept connection broke without an answer.
+    std::unordered_map<std::string, core::TimePoint> keptBroken;
     std::unordered_map<FlowId, Flow> flows;
     std::unordered_map<transport::ConnectionId, FlowId> byConnection;
     FlowId lastFlow = 0;
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -18,6 +18,10 @@
 /// endpoint dropped without notice fails the call.
 constexpr core::Duration idleForNonIdempotent = std::chrono::milliseconds(2'000);
 constexpr core::Duration idleForRepeatable = std::chrono::milliseconds(8'000);
+/// \brief The same for calls that must not run twice, for this time after a kept connection of the service broke
+/// without an answer. Endpoints that forget idle connections do so after 300 ms (platform's list of disruptions).
+constexpr core::Duration idleWhereForgotten = std::chrono::milliseconds(200);
+constexpr core::Duration forgettingTime = std::chrono::seconds(20);
 /// \brief A connection inside a region is established in milliseconds; one lost packet is sent again after a second.
 constexpr core::Duration connectTimeout = std::chrono::milliseconds(700);
 /// \brief Prompt tokens that an engine reads per millisecond (site sheets).
@@ -72,6 +76,8 @@
         return "not_sent";
     case ExchangeEnd::Broken:
         return "connection_broken";
+    case ExchangeEnd::BrokenKept:
+        return "kept_connection_broken";
     case ExchangeEnd::Malformed:
         return "malformed_answer";
     case ExchangeEnd::TimedOut:
@@ -112,7 +118,7 @@
         request.urgency = urgency(flow);
     transport::ExchangeOptions options;
     options.connectTimeout = connectTimeout;
-    options.longestIdle = flow.route->kind == CallKind::NonIdempotent ? idleForNonIdempotent : idleForRepeatable;
+    options.longestIdle = this->longestIdle(flow, now);
     platform::setEcho(options, flow.call);
     transport::ExchangeEvents events;
     events.head = [this, id](transport::ResponseHead&& head) { this->headRead(id, std::move(head)); };
@@ -135,6 +141,14 @@
         decision.address, platform::encodeRequest(flow.call, request), std::move(options), std::move(events));
 }
 
+core::Duration Gateway::longestIdle(const Flow& flow, core::TimePoint now) const
+{
+    const auto broken = this->keptBroken.find(flow.service->name);
+    if (!this->mayRepeat(flow) && broken != this->keptBroken.end() && now - broken->second < forgettingTime)
+        return idleWhereForgotten;
+    return flow.route->kind == CallKind::NonIdempotent ? idleForNonIdempotent : idleForRepeatable;
+}
+
 void Gateway::attemptEnded(FlowId id, ExchangeEnd end)
 {
     auto* const flow = this->find(id);
@@ -164,9 +178,12 @@
         this->attemptRefused(*flow, now);
         return;
     }
-    if (end == ExchangeEnd::Broken)
+    const bool broken = end == ExchangeEnd::Broken || end == ExchangeEnd::BrokenKept;
+    if (broken)
         this->suspectLoss(*flow);
-    const auto kind = end == ExchangeEnd::Broken ? policy::FailureKind::Crashed : policy::FailureKind::ServerError;
+    if (end == ExchangeEnd::BrokenKept)
+        this->keptBroken[flow->service->name] = now;
+    const auto kind = broken ? policy::FailureKind::Crashed : policy::FailureKind::ServerError;
     this->attemptFailed(*flow, kind, text(end), now);
 }
 
--- a/source/transport/ClientPool.cpp
+++ b/source/transport/ClientPool.cpp
@@ -54,6 +54,8 @@
     core::TimePoint idleSince {};
     core::Duration keepFor = defaultKeepAlive;
     bool connected = false;
+    /// \brief The connection was used before, and no byte of the response has come yet.
+    bool keptUnanswered = false;
     bool writing = false;
     bool reading = false;
     bool headDelivered = false;
@@ -93,6 +95,7 @@
     connection->text = std::move(text);
     connection->connectBy = now + options.connectTimeout;
     connection->answerBy = options.answerTimeout.count() > 0 ? now + options.answerTimeout : core::TimePoint::max();
+    connection->keptUnanswered = kept;
     connection->headDelivered = false;
     connection->skipping = false;
     connection->parser.reset();
@@ -211,6 +214,7 @@
 
 void ClientPool::received(const Found& connection, std::string_view bytes)
 {
+    connection->keptUnanswered = false;
     // A response that belongs to another request is skipped, and the rest is read as the next response.
     while (!bytes.empty() && !connection->closed && connection->exchange != 0) {
         bytes.remove_prefix(connection->parser.feed(bytes));
@@ -294,6 +298,8 @@
 {
     if (connection->closed)
         return;
+    if (end == ExchangeEnd::Broken && connection->keptUnanswered)
+        end = ExchangeEnd::BrokenKept;
     const auto events = std::move(connection->events);
     this->close(connection);
     if (events.ended)
--- a/source/transport/ClientPool.h
+++ b/source/transport/ClientPool.h
@@ -23,6 +23,9 @@
     NotSent,
     /// \brief The connection was closed or reset before the response was complete.
     Broken,
+    /// \brief The same on a kept connection before the first byte of the response. The peer may have forgotten the
+    /// connection while it was idle, or may have read the request.
+    BrokenKept,
     /// \brief The peer sent bytes that are no response.
     Malformed,
     /// \brief `answerTimeout` passed.
--- a/tests/GatewayCallTests.cpp
+++ b/tests/GatewayCallTests.cpp
@@ -250,4 +250,29 @@
     EXPECT_EQ(world.metrics.value("gateway_calls_total", { { "route", "r" }, { "outcome", "connection_broken" } }), 1);
 }
 
+// Guards against calls that fail one after the other on kept connections that the endpoint forgot without notice.
+TEST(GatewayCall, UsesNewConnectionsWhereKeptOnesWereForgotten)
+{
+    GatewayWorld world;
+    ScriptedEndpoint endpoint(world.context,
+        { { wholeAnswer("a", 200, "ok", signatureLine) }, { "", Then::Reset },
+            { wholeAnswer("c", 200, "ok", signatureLine) }, { wholeAnswer("d", 200, "ok", signatureLine) } });
+    world.serve(routeOf(CallKind::NonIdempotent), { &endpoint });
+    const auto rest = [&world] {
+        (void)runUntil(
+            world.context, [] { return false; }, std::chrono::milliseconds(300));
+    };
+    EXPECT_EQ(world.ask("a")->status, 200);
+    rest();
+    EXPECT_EQ(world.ask("b")->status, 502);
+    ASSERT_EQ(endpoint.connections, 1);
+    // The gateway checks on a connection of its own whether the endpoint is lost.
+    rest();
+    const auto before = endpoint.connections;
+    EXPECT_EQ(world.ask("c")->status, 200);
+    rest();
+    EXPECT_EQ(world.ask("d")->status, 200);
+    EXPECT_EQ(endpoint.connections - before, 2);
+}
+
 } // namespace lagoontiller::tests
