Correct the script of a test, and raise shares by up to a third of the rest

Change: a script with the check's answer; a third of the rest, which lasts for three turns of usual length.

--- a/source/gateway/Budgets.cpp
+++ b/source/gateway/Budgets.cpp
@@ -11,7 +11,7 @@
 /// \brief A share is raised by one more turn, at most by this part of what is left. Turns use a quarter of their most
 /// tokens on average, so that a turn ahead lasts for several turns; the tokens of a node that dies are lost to the
 /// program, so that the part must leave room for turns at other nodes.
-constexpr std::uint64_t aheadDivisor = 4;
+constexpr std::uint64_t aheadDivisor = 3;
 /// \brief Attempts at a store that is over its rate, and at one that does not answer.
 constexpr int maximumOverloads = 4;
 constexpr int maximumUnanswered = 3;
--- a/tests/GatewayCallTests.cpp
+++ b/tests/GatewayCallTests.cpp
@@ -255,7 +255,7 @@
 {
     GatewayWorld world;
     ScriptedEndpoint endpoint(world.context,
-        { { wholeAnswer("a", 200, "ok", signatureLine) }, { "", Then::Reset },
+        { { wholeAnswer("a", 200, "ok", signatureLine) }, { "", Then::Reset }, { wholeAnswer("check", 200, "ok") },
             { wholeAnswer("c", 200, "ok", signatureLine) }, { wholeAnswer("d", 200, "ok", signatureLine) } });
     world.serve(routeOf(CallKind::NonIdempotent), { &endpoint });
     const auto rest = [&world] {
