--- a/source/gateway/RelayedStore.cpp
+++ b/source/gateway/RelayedStore.cpp
@@ -3,6 +3,8 @@
 #include "core/Log.h"
 #include "gateway/impl/RelayMessages.h"
 
+#include <algorithm>
+
 namespace lagoontiller::gateway {
 
 namespace {
@@ -110,11 +112,19 @@
         if (!peer.self && !this->link.suspected(peer.address, now))
             usable.push_back(peer.address);
     }
-    std::vector<std::string> chosen;
-    for (std::size_t count = 0; count < std::min(mostPeers, usable.size()); ++count)
-        chosen.push_back(usable[(this->nextPeer + count) % usable.size()]);
+    std::rotate(usable.begin(), usable.begin() + static_cast<std::ptrdiff_t>(this->nextPeer % (usable.size() + 1)),
+        usable.end());
     ++this->nextPeer;
-    return chosen;
+    for (const auto& address : this->roster.distantPeers()) {
+        if (usable.size() >= mostPeers)
+            break;
+        if (!this->link.suspected(address, now))
+            usable.push_back(address);
+    }
+    usable.resize(std::min(usable.size(), mostPeers));
+    // The last one is asked first.
+    std::reverse(usable.begin(), usable.end());
+    return usable;
 }
 
 } // namespace lagoontiller::gateway
--- a/source/gateway/RelayedStore.h
+++ b/source/gateway/RelayedStore.h
@@ -9,7 +9,8 @@
 
 namespace lagoontiller::gateway {
 
-/// \brief The store as this node reaches it: directly or, while it has lost the contact, through a peer of its zone.
+/// \brief The store as this node reaches it: directly or, while it has lost the contact, through a peer: one of its
+/// zone, or of another where its zone has too few.
 ///
 /// The store may turn away some nodes and serve the others. Calls that were not done go to a peer at once; a call that
 /// was not answered may have been done and is left to its caller, which knows whether it may be repeated. When no peer
--- a/source/gateway/Roster.cpp
+++ b/source/gateway/Roster.cpp
@@ -236,6 +236,19 @@
     return peers;
 }
 
+std::vector<std::string> Roster::distantPeers() const
+{
+    std::vector<std::string> inRegion;
+    std::vector<std::string> elsewhere;
+    for (const auto& [name, node] : this->seen) {
+        if (!node.alive || !node.entry.ready || node.entry.zone == this->self.zone)
+            continue;
+        (node.entry.region == this->self.region ? inRegion : elsewhere).push_back(node.entry.peerAddress);
+    }
+    inRegion.insert(inRegion.end(), elsewhere.begin(), elsewhere.end());
+    return inRegion;
+}
+
 std::size_t Roster::zoneSize() const
 {
     std::size_t count = this->self.ready ? 1 : 0;
--- a/source/gateway/Roster.h
+++ b/source/gateway/Roster.h
@@ -52,6 +52,8 @@
         const std::string& zone, const std::string& region, std::size_t most);
     /// \brief Live nodes of this node's zone that serve callers, and this node.
     [[nodiscard]] std::vector<ZonePeer> zonePeers() const;
+    /// \brief Addresses of live nodes of other zones for messages between nodes, those of this node's region first.
+    [[nodiscard]] std::vector<std::string> distantPeers() const;
     /// \brief Ready nodes in this node's zone, this one included.
     [[nodiscard]] std::size_t zoneSize() const;
     /// \brief Time between two heartbeats of a node when `nodes` share the store.
--- a/tests/PeersTests.cpp
+++ b/tests/PeersTests.cpp
@@ -66,7 +66,7 @@
 
 /// \brief One node of the zone: what a home needs, and nothing else.
 struct PeerNode {
-    PeerNode(asio::io_context& context, gateway::RowStore& store, const std::string& name)
+    PeerNode(asio::io_context& context, gateway::RowStore& store, const std::string& name, const std::string& zone)
         : context(context)
         , name(name)
         , view(context, store)
@@ -127,13 +127,19 @@
 
 class PeerWorld {
 public:
-    PeerWorld()
+    /// \brief Nodes "a", "b" ... of these zones.
+    explicit PeerWorld(const std::vector<std::string>& zones = { "z", "z" })
         : store(this->context)
     {
         this->tick();
-        for (const auto* name : { "a", "b" })
-            this->nodes.push_back(std::make_unique<PeerNode>(this->context, this->store, name));
-        this->settle();
+        for (const auto& zone : zones) {
+            const std::string name(1, static_cast<char>('a' + this->nodes.size()));
+            this->nodes.push_back(std::make_unique<PeerNode>(this->context, this->store, name, zone));
+            (void)runUntil(
+                this->context, [] { return false; }, milliseconds(20));
+        }
+        if (zones.front() == zones.back())
+            this->settle();
     }
 
     /// \brief Lets the nodes see each other.
@@ -414,4 +420,14 @@
     EXPECT_LE(world.taken(program), 2 * turnTokens);
 }
 
+// Guards against a zone with a single node that stands still when the store turns that node away.
+TEST(Peers, NodeThatIsAloneInItsZoneReachesTheStoreThroughAnotherZone)
+{
+    PeerWorld world({ "y", "z" });
+    world.nodes[1]->view.failure = gateway::StoreFailure::NotDone;
+    const auto reservation = world.reserve(1, "p");
+    ASSERT_TRUE(reservation.has_value());
+    EXPECT_EQ(reservation->answer, BudgetAnswer::Granted);
+}
+
 } // namespace lagoontiller::tests
