Let the connection of the endpoint check grow old in a test

The gateway was right; the test left that connection just as old as the limit. Change: the test waits once more before it counts; what it asserts is the same.

--- a/tests/GatewayCallTests.cpp
+++ b/tests/GatewayCallTests.cpp
@@ -266,7 +266,9 @@
     rest();
     EXPECT_EQ(world.ask("b")->status, 502);
     ASSERT_EQ(endpoint.connections, 1);
-    // The gateway checks on a connection of its own whether the endpoint is lost.
+    // The gateway checks after 100 ms, on a connection of its own, whether the endpoint is lost: that connection must
+    // not be fresh enough for the next call either.
+    rest();
     rest();
     const auto before = endpoint.connections;
     EXPECT_EQ(world.ask("c")->status, 200);
