Withdraw requests by a reset

Ruled out: a second send at e1, an event passed twice. Test: GatewayCallTests WithdrawsARequestByAReset failed before.

--- a/soak/links.py
+++ b/soak/links.py
@@ -54,6 +54,9 @@
                     await asyncio.sleep(self.DELAY_S)
                 while number in self.silenced or self.mode == "cut" or (back and self.mode == "one_way"):
                     await asyncio.sleep(0.05)
+                    # Bytes that are held up are lost when their sender resets the connection.
+                    if reader.exception() is not None:
+                        raise reader.exception()
                 writer.write(piece)
                 await writer.drain()
             if writer.can_write_eof():
--- a/source/transport/ClientPool.cpp
+++ b/source/transport/ClientPool.cpp
@@ -115,6 +115,10 @@
     if (found == this->exchanges.end())
         return;
     const auto connection = found->second;
+    // A reset also withdraws the part of the request that is still on its way, which an orderly close would deliver.
+    asio::error_code ignored; // The connection is given up; there is nobody to report a failure to.
+    connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    connection->socket.close(ignored);
     this->close(connection);
 }
 
--- a/tests/GatewayCallTests.cpp
+++ b/tests/GatewayCallTests.cpp
@@ -277,4 +277,18 @@
     EXPECT_EQ(endpoint.connections - before, 2);
 }
 
+// Guards against a request that an endpoint behind a cut link reads after it was withdrawn and sent elsewhere: an
+// orderly close delivers what is on its way once the cut ends, a reset does not.
+TEST(GatewayCall, WithdrawsARequestByAReset)
+{
+    GatewayWorld world;
+    ScriptedEndpoint endpoint(world.context, { { "", Then::Silent } });
+    world.serve(routeOf(CallKind::NonIdempotent), { &endpoint });
+    (void)world.call("a", {}, "work");
+    ASSERT_TRUE(runUntil(world.context, [&endpoint] { return endpoint.requests.size() == 1; }));
+    world.callerPool.cancel(world.lastExchange);
+    EXPECT_TRUE(runUntil(world.context, [&endpoint] { return endpoint.closed == 1; }));
+    EXPECT_EQ(endpoint.resets, 1);
+}
+
 } // namespace lagoontiller::tests
--- a/tests/support/ScriptedEndpoint.h
+++ b/tests/support/ScriptedEndpoint.h
@@ -44,6 +44,8 @@
     int connections = 0;
     /// \brief Connections that the other side closed.
     int closed = 0;
+    /// \brief Those of them that it reset.
+    int resets = 0;
 
 private:
     struct Connection {
@@ -74,6 +76,7 @@
             asio::buffer(connection->buffer), [this, connection](asio::error_code error, std::size_t size) {
                 if (error) {
                     ++this->closed;
+                    this->resets += error == asio::error::connection_reset ? 1 : 0;
                     return;
                 }
                 connection->text.append(connection->buffer.data(), size);
