Fail every endpoint of the service that a soak's checked calls use

Whether a call met the fault depended on the speed of the machine. Change: the planned fault hits all endpoints of the service that the route uses at that moment. Order of the plan's random numbers unchanged.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -56,9 +56,10 @@
             how = random.choice(("store", "caller", "endpoint"))
         steps.append(Step(at, kind, target, how, seconds))
     steps.append(Step(start + random.uniform(0, TROUBLE_S - 3), "move", random.randrange(2)))
-    # Answers that are lost are what tempts a gateway into a second run: each run has them at an engine and a plain service.
-    for target in (0, 6):
-        steps.append(Step(start + random.uniform(0, 4), "endpoint", target, "lost", 4.0))
+    # Answers that are lost are what tempts a gateway into a second run or a false refusal: each run has them at an engine
+    # and at every endpoint of the service that runs the calls that may not be repeated.
+    steps.append(Step(start + random.uniform(0, 4), "endpoint", 0, "lost", 4.0))
+    steps.append(Step(start + random.uniform(0, 4), "service", 0, "lost", 4.0))
     return steps
 
 
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -141,6 +141,8 @@
             endpoint.fault = step.how
             await asyncio.sleep(step.for_s)
             endpoint.fault = "none"
+        elif step.kind == "service":
+            await self.fail_service(LEDGERS[self.ledger["lodge"]], step)
         elif step.kind == "crash":
             await endpoint.crash()
             await asyncio.sleep(step.for_s)
@@ -159,6 +161,16 @@
         self.all_troubled()
         self.store.mode = "ok"
 
+    async def fail_service(self, service, step):
+        """Fails all endpoints of the service, and leaves those alone that another fault has changed meanwhile."""
+        endpoints = [endpoint for endpoint in self.endpoints if endpoint.service == service]
+        for endpoint in endpoints:
+            endpoint.fault = step.how
+        await asyncio.sleep(step.for_s)
+        for endpoint in endpoints:
+            if endpoint.fault == step.how:
+                endpoint.fault = "none"
+
     async def play_link(self, step, node, endpoint):
         name = step.how if step.kind in ("reset", "silence") else step.kind.removesuffix("_link")
         link = {"store": node.to_store, "caller": node.from_callers, "endpoint": endpoint.link}[name]
