--- a/source/command/StatusCommand.cpp
+++ b/source/command/StatusCommand.cpp
@@ -1,8 +1,6 @@
 #include "command/StatusCommand.h"
 
-#include "command/Arguments.h"
-#include "command/ExitStatus.h"
-#include "command/NodeClient.h"
+#include "command/NodeQuery.h"
 
 #include <iostream>
 
@@ -46,24 +44,7 @@
 {
     cxxopts::Options options(
         "lagoontiller status", "Show nodes, endpoints, programs and refusals as one node knows them");
-    addNodeOptions(options);
-    const auto arguments = parseArguments(options, argc, argv);
-    if (const auto* const status = std::get_if<int>(&arguments))
-        return *status;
-    const auto& parsed = std::get<cxxopts::ParseResult>(arguments);
-    const auto access = nodeAccess(parsed);
-    if (!access)
-        return reportError(options, access.error());
-    const auto answer = NodeClient(access->address, access->key).get("/v1/status");
-    if (!answer)
-        return reportError(options, answer.error());
-    if (answer->status != 200)
-        return reportRefusal(options, *answer);
-    if (parsed.count("json") > 0)
-        printJson(answer->body);
-    else
-        printStatus(answer->body);
-    return ExitStatus::Success;
+    return runNodeQuery(options, argc, argv, "/v1/status", printStatus);
 }
 
 } // namespace lagoontiller::command
--- a/source/gateway/Peers.cpp
+++ b/source/gateway/Peers.cpp
@@ -3,6 +3,7 @@
 #include "core/Encoding.h"
 #include "core/Hash.h"
 #include "core/Log.h"
+#include "gateway/impl/TurnRows.h"
 #include "proto/gateway.pb.h"
 
 namespace lagoontiller::gateway {
@@ -19,24 +20,6 @@
 /// \brief Homes that are tried one after the other before a node takes a share of its own.
 constexpr int maximumHomes = 2;
 
-wire::TurnRecord encode(const Turn& turn)
-{
-    wire::TurnRecord record;
-    for (const auto& each : turn.ancestors)
-        record.add_ancestors(each);
-    record.set_input(turn.input);
-    record.set_output(turn.output);
-    record.set_kept_until_ms(turn.keptUntilMs);
-    return record;
-}
-
-std::shared_ptr<const Turn> decode(const wire::OfferedTurn& offered)
-{
-    const auto& record = offered.turn();
-    return std::make_shared<const Turn>(Turn { offered.id(), { record.ancestors().begin(), record.ancestors().end() },
-        record.input(), record.output(), record.kept_until_ms() });
-}
-
 BudgetAnswer budgetAnswer(wire::PeerResponse::BudgetAnswer answer) noexcept
 {
     switch (answer) {
@@ -210,7 +193,7 @@
         }
         Chain chain;
         for (const auto& each : response->chain()) {
-            chain.push_back(decode(each));
+            chain.push_back(impl::decodeRecord(each.id(), each.turn()));
             this->histories.keep(chain.back());
         }
         done(std::move(chain));
@@ -224,7 +207,7 @@
         return;
     wire::PeerRequest message;
     message.mutable_offer()->set_id(turn.id);
-    *message.mutable_offer()->mutable_turn() = encode(turn);
+    *message.mutable_offer()->mutable_turn() = impl::encodeRecord(turn);
     this->link.ask(home, message, [](const wire::PeerResponse*) {});
 }
 
@@ -313,13 +296,13 @@
         for (const auto& turn : this->histories.chainInMemory(message.load().turn())) {
             auto* const offered = response.add_chain();
             offered->set_id(turn->id);
-            *offered->mutable_turn() = encode(*turn);
+            *offered->mutable_turn() = impl::encodeRecord(*turn);
         }
         this->respond(connection, response);
         return;
     }
     case wire::PeerRequest::kOffer:
-        this->histories.keep(decode(message.offer()));
+        this->histories.keep(impl::decodeRecord(message.offer().id(), message.offer().turn()));
         break;
     case wire::PeerRequest::kTransaction:
     case wire::PeerRequest::kRead:
--- a/source/gateway/impl/TurnRows.cpp
+++ b/source/gateway/impl/TurnRows.cpp
@@ -85,7 +85,7 @@
     return rowName(id) + separator + separator;
 }
 
-std::vector<Row> encodeTurn(const Turn& turn, std::size_t rowBytes)
+wire::TurnRecord encodeRecord(const Turn& turn)
 {
     wire::TurnRecord record;
     for (const auto& each : turn.ancestors)
@@ -93,6 +93,18 @@
     record.set_kept_until_ms(turn.keptUntilMs);
     record.set_input(turn.input);
     record.set_output(turn.output);
+    return record;
+}
+
+std::shared_ptr<const Turn> decodeRecord(const std::string& id, const wire::TurnRecord& record)
+{
+    return std::make_shared<const Turn>(Turn { id, { record.ancestors().begin(), record.ancestors().end() },
+        record.input(), record.output(), record.kept_until_ms() });
+}
+
+std::vector<Row> encodeTurn(const Turn& turn, std::size_t rowBytes)
+{
+    auto record = encodeRecord(turn);
     std::vector<Row> rows;
     if (record.ByteSizeLong() > rowBytes) {
         rows = encodePieces(turn, rowBytes);
@@ -118,8 +130,7 @@
         record.set_input(texts->input());
         record.set_output(texts->output());
     }
-    return std::make_shared<const Turn>(Turn { id, { record.ancestors().begin(), record.ancestors().end() },
-        record.input(), record.output(), record.kept_until_ms() });
+    return decodeRecord(id, record);
 }
 
 std::optional<std::uint64_t> turnKeptUntil(const Row& row)
--- a/source/gateway/impl/TurnRows.h
+++ b/source/gateway/impl/TurnRows.h
@@ -2,13 +2,21 @@
 
 #include "gateway/Histories.h"
 
-/// \brief Turns as rows of the store.
+namespace lagoontiller::gateway::wire {
+class TurnRecord;
+}
+
+/// \brief Turns as records, for rows of the store and for messages between nodes.
 namespace lagoontiller::gateway::impl {
 
 /// \brief Parts over which turns are spread; the store runs 300 transactions a second and part.
 inline constexpr std::uint64_t turnParts = 16;
 inline constexpr auto turnTable = "turns";
 
+/// \brief The whole turn in one record.
+[[nodiscard]] wire::TurnRecord encodeRecord(const Turn& turn);
+/// \brief The turn of a record that has its texts.
+[[nodiscard]] std::shared_ptr<const Turn> decodeRecord(const std::string& id, const wire::TurnRecord& record);
 /// \brief Place of the turn's first row, by which it is found.
 [[nodiscard]] RowKey turnKey(const std::string& id);
 /// \brief Key behind the last row of the turn.
