Keep a budget's row for the retention of the program's last turn

Cause, found by reading: the row was kept for the retention of its last write, and turns that the share covers write nothing. A program that came back within the retention of its last turn could find its row gone and its whole budget anew (rule: never more than the budget). Change: a row is kept 30 s longer than the retention and renewed when a turn ends 15 s after its last write. A program whose tokens were all handed out at this node is told so from memory, also while the store is away. During an outage a reservation whose write was not answered is not tried again. Tests: IsRememberedForTheRetentionOfTheLastTurn failed before; IsSpentWithoutTheStore..., AsksTheStoreWhileATurnIsInProgress.

--- a/source/gateway/Budgets.cpp
+++ b/source/gateway/Budgets.cpp
@@ -19,6 +19,12 @@
 constexpr core::Duration longestUnclearOutage = std::chrono::milliseconds(500);
 /// \brief Local entries idle for this long are dropped; the row has everything.
 constexpr core::Duration forgetAfter = std::chrono::seconds(30);
+/// \brief Rows are kept this much longer than the retention, so that a row outlives turns that needed no write.
+constexpr core::Duration rowMargin = std::chrono::seconds(30);
+/// \brief A row is renewed when a turn ended this long after its last write: half of the margin, so that several
+/// attempts fit into the rest.
+constexpr core::Duration renewAfter = rowMargin / 2;
+constexpr core::Duration renewRetry = std::chrono::seconds(4);
 
 } // namespace
 
@@ -68,8 +74,16 @@
 {
     std::vector<std::string> idle;
     std::vector<std::string> forgotten;
+    std::vector<std::string> old;
     for (const auto& [id, program] : this->programs) {
-        if (program.turns > 0 || program.calling || !program.waiting.empty())
+        if (program.calling || !program.waiting.empty())
+            continue;
+        if (isOld(program)) {
+            if (now - program.renewedAt > renewRetry && this->contact.awayFor(now) == core::Duration::zero())
+                old.push_back(id);
+            continue;
+        }
+        if (program.turns > 0)
             continue;
         const auto age = now - program.lastUsed;
         const bool unused = program.share > program.used && this->contact.awayFor(now) == core::Duration::zero();
@@ -82,6 +96,16 @@
         this->lowerShare(id);
     for (const auto& id : forgotten)
         this->programs.erase(id);
+    for (const auto& id : old) {
+        auto& program = this->programs[id];
+        program.renewedAt = now;
+        this->write(id, program, std::max(program.share, program.used), now);
+    }
+}
+
+bool Budgets::isOld(const Program& program)
+{
+    return program.used > 0 && program.lastUsed - program.writtenAt > renewAfter;
 }
 
 void Budgets::release()
@@ -101,7 +125,7 @@
     if (program.unsure)
         this->read(id, program);
     else
-        this->write(id, program, program.used);
+        this->write(id, program, program.used, core::monotonicNow());
 }
 
 void Budgets::grant(Program& program)
@@ -121,6 +145,16 @@
     this->grant(program);
     if (program.calling || program.waiting.empty())
         return;
+    // Tokens of ended turns at this node never come back, whatever other nodes hold.
+    if (program.turns == 0 && program.used + program.waiting.front().tokens > program.budget) {
+        core::logInfo("budget_exhausted")
+            .with("program", id)
+            .with("budget", program.budget)
+            .with("own", program.used)
+            .with("row_version", program.version);
+        this->refuse(program, BudgetAnswer::Exhausted);
+        return;
+    }
     // Heartbeats notice the return of the store; until then every call would wait for its time-out.
     if (this->contact.awayFor(core::monotonicNow()) > longestUnclearOutage) {
         this->refuse(program, BudgetAnswer::Unavailable);
@@ -164,12 +198,11 @@
         return;
     }
     wanted += std::min(program.waiting.front().tokens, (program.budget - taken - wanted) / aheadDivisor);
-    this->write(id, program, std::max(wanted, program.used));
+    this->write(id, program, std::max(wanted, program.used), core::monotonicNow());
 }
 
-void Budgets::write(const std::string& id, Program& program, std::uint64_t share)
+void Budgets::write(const std::string& id, Program& program, std::uint64_t share, core::TimePoint now)
 {
-    const auto now = core::monotonicNow();
     wire::BudgetRecord record;
     for (const auto& [node, other] : program.others) {
         auto* const entry = record.add_shares();
@@ -182,7 +215,7 @@
     own->set_tokens(share);
     own->set_used(std::min(program.used, share));
     record.set_kept_until_ms(
-        this->contact.storeNow(now) + static_cast<std::uint64_t>(program.retention.count() / 1'000));
+        this->contact.storeNow(now) + static_cast<std::uint64_t>((program.retention + rowMargin).count() / 1'000));
     const auto key = this->rowKey(id);
     RowTransaction transaction;
     transaction.conditions.push_back({ key, program.version });
@@ -191,10 +224,12 @@
     // A lower share must not be used above while the outcome is open.
     program.share = std::min(program.share, share);
     this->store.transact(std::move(transaction), this->contact.callTimeout(),
-        [this, id, share](StoreResult<TransactionResult> result) { this->written(id, share, std::move(result)); });
+        [this, id, share, now](
+            StoreResult<TransactionResult> result) { this->written(id, share, now, std::move(result)); });
 }
 
-void Budgets::written(const std::string& id, std::uint64_t share, StoreResult<TransactionResult> result)
+void Budgets::written(
+    const std::string& id, std::uint64_t share, core::TimePoint sentAt, StoreResult<TransactionResult> result)
 {
     const auto found = this->programs.find(id);
     if (found == this->programs.end())
@@ -203,7 +238,8 @@
     program.calling = false;
     if (!result) {
         program.unsure = program.unsure || result.error() == StoreFailure::Unknown;
-        const bool again = !program.waiting.empty() && program.waiting.front().unanswered++ < maximumUnanswered;
+        const bool again = !program.waiting.empty() && program.waiting.front().unanswered++ < maximumUnanswered
+            && this->contact.awayFor(core::monotonicNow()) <= longestUnclearOutage;
         if (result.error() == StoreFailure::Overloaded && !program.waiting.empty()
             && program.waiting.front().overloads < maximumOverloads) {
             ++program.waiting.front().overloads;
@@ -219,13 +255,14 @@
     if (result->applied) {
         program.version = result->version;
         program.share = share;
-        this->expiry.written(this->rowKey(id), result->version, core::monotonicNow() + program.retention + forgetAfter);
+        program.writtenAt = sentAt;
+        this->expiry.written(this->rowKey(id), result->version, sentAt + program.retention + rowMargin);
     } else {
         this->learn(program, result->current.empty() ? nullptr : &result->current.front());
         program.checked = true;
         // Another node changed the row meanwhile: a share that is given back is written again.
         if (program.waiting.empty() && program.turns == 0 && program.share > share) {
-            this->write(id, program, program.used);
+            this->write(id, program, program.used, core::monotonicNow());
             return;
         }
     }
--- a/source/gateway/Budgets.h
+++ b/source/gateway/Budgets.h
@@ -59,8 +59,8 @@
     void reserve(const BudgetRequest& request, core::TimePoint now, Done done);
     /// \brief The turn ended after handing out `used` of its `reserved` tokens.
     void settle(const std::string& program, std::uint64_t reserved, std::uint64_t used, core::TimePoint now);
-    /// \brief Lowers the shares of idle programs that other nodes use too, or whose home is elsewhere; due several
-    /// times a second.
+    /// \brief Lowers the shares of idle programs that other nodes use too, or whose home is elsewhere, and renews rows
+    /// that were written long before the last turn; due several times a second.
     void tick(core::TimePoint now, const std::function<bool(const std::string&)>& isHome);
     /// \brief Gives all unused shares back: the node is about to end. Due repeatedly until then.
     void release();
@@ -103,13 +103,19 @@
         bool unsure = false;
         bool checked = false;
         core::TimePoint lastUsed {};
+        /// \brief Time of the last durable write, and of the last attempt to renew the row.
+        core::TimePoint writtenAt {};
+        core::TimePoint renewedAt {};
     };
 
     void lowerShare(const std::string& id);
+    /// \brief Whether the row was last written too long before the last turn to outlive it by the retention.
+    [[nodiscard]] static bool isOld(const Program& program);
     void grant(Program& program);
     void pump(const std::string& id);
-    void write(const std::string& id, Program& program, std::uint64_t share);
-    void written(const std::string& id, std::uint64_t share, StoreResult<TransactionResult> result);
+    void write(const std::string& id, Program& program, std::uint64_t share, core::TimePoint now);
+    void written(
+        const std::string& id, std::uint64_t share, core::TimePoint sentAt, StoreResult<TransactionResult> result);
     void read(const std::string& id, Program& program);
     void rowRead(const std::string& id, StoreResult<RowPage> page);
     void learn(Program& program, const Row* row);
--- a/tests/GatewayBudgetTests.cpp
+++ b/tests/GatewayBudgetTests.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::uint64_t budget = 1'000;
 constexpr std::uint64_t turnTokens = 100;
+constexpr core::Duration retention = std::chrono::seconds(60);
 
 /// \brief Nodes that share one store; a node that restarts has a new key and no memory.
 class BudgetWorld {
@@ -30,7 +31,7 @@
     std::optional<BudgetAnswer> reserve(std::size_t node)
     {
         auto answer = std::make_shared<std::optional<BudgetAnswer>>();
-        this->nodes[node]->reserve({ "p", budget, turnTokens, std::chrono::seconds(60) }, core::monotonicNow(),
+        this->nodes[node]->reserve({ "p", budget, turnTokens, retention }, core::monotonicNow(),
             [answer](BudgetAnswer given) { *answer = given; });
         (void)runUntil(this->context, [&answer] { return answer->has_value(); });
         return *answer;
@@ -41,6 +42,14 @@
         this->nodes[node]->settle("p", turnTokens, used, core::monotonicNow());
     }
 
+    /// \brief Runs a turn that needs no answer of the store, at a time to come.
+    void runTurnLater(std::size_t node, core::Duration later)
+    {
+        const auto now = core::monotonicNow() + later;
+        this->nodes[node]->reserve({ "p", budget, turnTokens, retention }, now, [](BudgetAnswer) {});
+        this->nodes[node]->settle("p", turnTokens, turnTokens, now);
+    }
+
     void release(std::size_t node)
     {
         this->nodes[node]->release();
@@ -175,6 +184,29 @@
     EXPECT_EQ(answer, BudgetAnswer::Exhausted);
 }
 
+// Guards against a refusal with "come back later" for a program that can never run another turn, and against store
+// calls for each of its further turns.
+TEST(GatewayBudget, IsSpentWithoutTheStoreWhenThisNodeHandedItOut)
+{
+    BudgetWorld world(1);
+    while (world.reserve(0) == BudgetAnswer::Granted)
+        world.settle(0, turnTokens);
+    const auto reads = world.store.reads;
+    world.store.fault = StoreFault::Down;
+    EXPECT_EQ(world.reserve(0), BudgetAnswer::Exhausted);
+    EXPECT_EQ(world.store.reads, reads);
+}
+
+// Guards against a program that is ended from memory while a turn in progress may still hand out less than it reserved.
+TEST(GatewayBudget, AsksTheStoreWhileATurnIsInProgress)
+{
+    BudgetWorld world(1);
+    for (std::uint64_t used = 0; used < budget; used += turnTokens)
+        ASSERT_EQ(world.reserve(0), BudgetAnswer::Granted);
+    world.store.fault = StoreFault::Down;
+    EXPECT_EQ(world.reserve(0), BudgetAnswer::Unavailable);
+}
+
 // Guards against a lost answer that refuses the turn: the row says what was granted.
 TEST(GatewayBudget, ReadsTheRowAfterALostAnswer)
 {
@@ -198,4 +230,23 @@
     EXPECT_EQ(world.reserve(0), BudgetAnswer::Granted);
 }
 
+// Guards against a program that comes back within the retention of its last turn and gets its whole budget anew: the
+// row was written long before that turn, which the share covered.
+TEST(GatewayBudget, IsRememberedForTheRetentionOfTheLastTurn)
+{
+    BudgetWorld world(1);
+    ASSERT_EQ(world.reserve(0), BudgetAnswer::Granted);
+    world.settle(0, turnTokens);
+    world.runTurnLater(0, std::chrono::seconds(40));
+    world.tickAll(std::chrono::milliseconds(40'500));
+    world.expiry.tick(core::monotonicNow() + std::chrono::seconds(40) + retention);
+    world.restart(0);
+    std::uint64_t granted = 2 * turnTokens;
+    while (world.reserve(0) == BudgetAnswer::Granted) {
+        world.settle(0, turnTokens);
+        granted += turnTokens;
+    }
+    EXPECT_EQ(granted, budget);
+}
+
 } // namespace lagoontiller::tests
