Refuse at once throughout an outage of the store, and let a probe ask the peers

Every 0.3 s peers could be asked again; until they had denied, all calls of that moment went on to the store, whose time-outs had grown to 0.8 s because each of many calls in flight doubled them. Change: the node asks peers itself, four times a second, while it has no contact; calls do not. Calls that were under way together lengthen the time-out once. Tests: Peers.RefusesAtOnceThroughoutASilentOutage (before: 0.80 s), Peers.NoticesWithoutCallsThatAPeerHasContactAgain (before: refused).

--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -317,6 +317,7 @@
     constexpr core::Duration interval = std::chrono::milliseconds(250);
     this->nextSecond = now + interval;
     this->budgets.tick(now, [this, now](const std::string& program) { return this->peers.isHome(program, now); });
+    this->store.tick(now);
     this->expiry.tick(now);
     this->sweeper.tick(now);
     this->directory.tick(now);
--- a/source/gateway/RelayedStore.cpp
+++ b/source/gateway/RelayedStore.cpp
@@ -71,10 +71,25 @@
     this->direct.watch(table, after, wait, std::move(done));
 }
 
+void RelayedStore::tick(core::TimePoint now)
+{
+    if (!this->contact.failing() || !this->contact.relayMayWork(now))
+        return;
+    auto question = std::make_shared<wire::PeerRequest>();
+    *question->mutable_read() = impl::encodeRange({ Roster::table, {}, {}, {}, 1 });
+    this->relay(
+        question, [](const wire::RelayedAnswer&) {}, [] {});
+}
+
 void RelayedStore::relay(const std::shared_ptr<wire::PeerRequest>& request, Answered answered, Denied denied)
 {
-    this->askNext(std::make_shared<Relay>(
-        Relay { request, this->choosePeers(core::monotonicNow()), std::move(answered), std::move(denied) }));
+    const auto now = core::monotonicNow();
+    if (!this->contact.relayMayWork(now)) {
+        denied();
+        return;
+    }
+    this->askNext(
+        std::make_shared<Relay>(Relay { request, this->choosePeers(now), std::move(answered), std::move(denied) }));
 }
 
 void RelayedStore::askNext(const std::shared_ptr<Relay>& relay)
--- a/source/gateway/RelayedStore.h
+++ b/source/gateway/RelayedStore.h
@@ -26,6 +26,10 @@
     void watch(const std::string& table, std::uint64_t after, core::Duration wait,
         std::function<void(StoreResult<RowPage>)> done) override;
 
+    /// \brief Asks peers again whether one of them has contact, when the last ones had none; due several times a
+    /// second.
+    void tick(core::TimePoint now);
+
 private:
     using Answered = std::function<void(const wire::RelayedAnswer&)>;
     using Denied = std::function<void()>;
--- a/source/gateway/Roster.cpp
+++ b/source/gateway/Roster.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr auto table = "nodes";
 /// \brief Shortest interval of the heartbeat; a fifth of the longest time that callers keep an address (5 s).
 constexpr core::Duration shortestInterval = std::chrono::milliseconds(1'000);
 /// \brief Heartbeats per second of all nodes together: a quarter of the writes that the smallest store takes (800).
--- a/source/gateway/Roster.h
+++ b/source/gateway/Roster.h
@@ -37,6 +37,8 @@
 /// be read, the last view holds.
 class Roster {
 public:
+    static constexpr auto table = "nodes";
+
     Roster(asio::io_context& context, RowStore& store, StoreContact& contact, NodeEntry self,
         std::vector<std::string> zones);
 
--- a/source/gateway/StoreContact.cpp
+++ b/source/gateway/StoreContact.cpp
@@ -47,7 +47,7 @@
     this->usual = (this->usual * 7 + took) / 8;
 }
 
-void StoreContact::failed(StoreFailure failure, core::TimePoint now)
+void StoreContact::failed(StoreFailure failure, core::TimePoint startedAt, core::TimePoint now)
 {
     if (failure == StoreFailure::HistoryGone)
         return;
@@ -55,9 +55,11 @@
         core::logWarning("store_lost").with("reason", text(failure));
         this->lostAt = now;
     }
-    // An unanswered call may be a slow one: later calls wait longer.
-    if (failure == StoreFailure::Unknown)
-        this->usual = std::min(this->usual * 2, longestUsual);
+    // An unanswered call may be a slow one: later calls wait longer. Calls that were under way together count once.
+    if (failure == StoreFailure::Unknown && startedAt >= this->doubledAt) {
+        this->usual = std::min(std::max(this->usual, shortestTimeout / timeoutMultiple) * 2, longestUsual);
+        this->doubledAt = now;
+    }
     this->isLost = true;
     this->everFailed = true;
     this->failedAt = now;
@@ -73,7 +75,7 @@
 
 core::Duration StoreContact::awayFor(core::TimePoint now) const noexcept
 {
-    if (!this->failing() || this->relayMayWork(now))
+    if (!this->failing() || (this->relays && !this->relayDeniedAt))
         return core::Duration::zero();
     return now - this->lostAt;
 }
@@ -124,7 +126,7 @@
             contact.succeeded(now - started, now);
             contact.clock(result->storeMs, now);
         } else {
-            contact.failed(result.error(), now);
+            contact.failed(result.error(), started, now);
         }
         done(std::move(result));
     };
@@ -148,14 +150,15 @@
     const std::string& table, std::uint64_t after, core::Duration wait, std::function<void(StoreResult<RowPage>)> done)
 {
     // The answer time of a watch is the time to the next change and says nothing about the store.
-    this->store.watch(table, after, wait, [this, done = std::move(done)](StoreResult<RowPage> result) {
-        const auto now = core::monotonicNow();
-        if (result)
-            this->contact.clock(result->storeMs, now);
-        else
-            this->contact.failed(result.error(), now);
-        done(std::move(result));
-    });
+    this->store.watch(table, after, wait,
+        [this, done = std::move(done), started = core::monotonicNow()](StoreResult<RowPage> result) {
+            const auto now = core::monotonicNow();
+            if (result)
+                this->contact.clock(result->storeMs, now);
+            else
+                this->contact.failed(result.error(), started, now);
+            done(std::move(result));
+        });
 }
 
 } // namespace lagoontiller::gateway
--- a/source/gateway/StoreContact.h
+++ b/source/gateway/StoreContact.h
@@ -11,7 +11,8 @@
 class StoreContact {
 public:
     void succeeded(core::Duration took, core::TimePoint now);
-    void failed(StoreFailure failure, core::TimePoint now);
+    /// \brief A call that began at `startedAt` failed.
+    void failed(StoreFailure failure, core::TimePoint startedAt, core::TimePoint now);
     /// \brief The store's clock as of an answer.
     void clock(std::uint64_t storeMs, core::TimePoint now);
 
@@ -24,6 +25,9 @@
     /// \brief A call through peers ended; `reached` says whether one of them has contact to the store.
     void relayEnded(bool reached, core::TimePoint now);
 
+    /// \brief Whether peers should be asked: none of them was asked without success a moment ago.
+    [[nodiscard]] bool relayMayWork(core::TimePoint now) const noexcept;
+
     /// \brief Time since the first of the failed calls since the last success; 0 while there is contact, or while peers
     /// may have it.
     [[nodiscard]] core::Duration awayFor(core::TimePoint now) const noexcept;
@@ -36,8 +40,6 @@
     [[nodiscard]] core::TimePoint lastSuccess() const noexcept { return this->succeededAt; }
 
 private:
-    [[nodiscard]] bool relayMayWork(core::TimePoint now) const noexcept;
-
     bool relays = false;
     /// \brief The peers that were asked last had no contact either.
     std::optional<core::TimePoint> relayDeniedAt;
@@ -47,6 +49,7 @@
     core::TimePoint failedAt {};
     core::TimePoint lostAt {};
     core::Duration usual = std::chrono::milliseconds(10);
+    core::TimePoint doubledAt {};
     std::uint64_t storeMs = 0;
     core::TimePoint storeMsAt {};
 };
--- a/tests/GatewayStreamTests.cpp
+++ b/tests/GatewayStreamTests.cpp
@@ -151,7 +151,8 @@
     GatewayWorld world;
     ScriptedEndpoint endpoint(world.context, { { wholeStream("a", "x") } });
     world.serve(streamRoute(false, false), { &endpoint });
-    world.contact.failed(gateway::StoreFailure::Unknown, core::monotonicNow() - std::chrono::milliseconds(1'100));
+    const auto lostAt = core::monotonicNow() - std::chrono::milliseconds(1'100);
+    world.contact.failed(gateway::StoreFailure::Unknown, lostAt, lostAt);
     EXPECT_EQ(world.ask("a", budgetLines)->status, 503);
     EXPECT_EQ(world.store.writes, 0);
     world.contact.succeeded(std::chrono::milliseconds(5), core::monotonicNow());
--- a/tests/PeersTests.cpp
+++ b/tests/PeersTests.cpp
@@ -31,32 +31,37 @@
     void transact(gateway::RowTransaction transaction, core::Duration timeout,
         std::function<void(gateway::StoreResult<gateway::TransactionResult>)> done) override
     {
-        if (!this->turnedAway(done))
+        if (!this->turnedAway(done, timeout))
             this->store.transact(std::move(transaction), timeout, std::move(done));
     }
     void read(gateway::RowRange range, core::Duration timeout,
         std::function<void(gateway::StoreResult<gateway::RowPage>)> done) override
     {
-        if (!this->turnedAway(done))
+        if (!this->turnedAway(done, timeout))
             this->store.read(std::move(range), timeout, std::move(done));
     }
     void watch(const std::string& table, std::uint64_t after, core::Duration wait,
         std::function<void(gateway::StoreResult<gateway::RowPage>)> done) override
     {
-        if (!this->turnedAway(done))
+        if (!this->turnedAway(done, wait))
             this->store.watch(table, after, wait, std::move(done));
     }
 
     std::optional<gateway::StoreFailure> failure;
+    /// \brief Calls end only with their time-out.
+    bool silent = false;
     int refused = 0;
 
 private:
-    template <typename Done> bool turnedAway(const Done& done)
+    template <typename Done> bool turnedAway(const Done& done, core::Duration timeout)
     {
-        if (!this->failure)
+        if (!this->failure && !this->silent)
             return false;
         ++this->refused;
-        asio::post(this->context, [done, failure = *this->failure] { done(tl::unexpected(failure)); });
+        const auto failure = this->failure.value_or(gateway::StoreFailure::Unknown);
+        const auto timer
+            = std::make_shared<asio::steady_timer>(this->context, this->silent ? timeout : core::Duration::zero());
+        timer->async_wait([done, failure, timer](asio::error_code) { done(tl::unexpected(failure)); });
         return true;
     }
 
@@ -208,8 +213,10 @@
             if (error)
                 return;
             for (const auto& node : this->nodes) {
-                if (node)
-                    node->peers->tick(core::monotonicNow());
+                if (!node)
+                    continue;
+                node->peers->tick(core::monotonicNow());
+                node->store.tick(core::monotonicNow());
             }
             this->tick();
         });
@@ -430,4 +437,45 @@
     EXPECT_EQ(reservation->answer, BudgetAnswer::Granted);
 }
 
+// Guards against calls of callers that are held for a second and more in the middle of a silent outage, because each
+// pause after which peers are asked again lets the calls of that moment through to the store.
+TEST(Peers, RefusesAtOnceThroughoutASilentOutage)
+{
+    PeerWorld world;
+    for (auto& node : world.nodes)
+        node->view.silent = true;
+    (void)world.reserve(0, world.programOf(0));
+    (void)runUntil(
+        world.context, [&world] { return world.nodes[0]->contact.awayFor(core::monotonicNow()) > milliseconds(600); });
+    const auto program = world.programOf(0);
+    core::Duration longest {};
+    for (int call = 0; call < 40; ++call) {
+        const auto start = core::monotonicNow();
+        const auto reservation = world.reserve(0, program);
+        ASSERT_TRUE(reservation.has_value());
+        EXPECT_EQ(reservation->answer, BudgetAnswer::Unavailable);
+        longest = std::max(longest, core::monotonicNow() - start);
+        (void)runUntil(
+            world.context, [] { return false; }, milliseconds(30));
+    }
+    EXPECT_LT(longest, milliseconds(150));
+}
+
+// Guards against a node that refuses new programs although a peer has contact again, because nothing asks that peer.
+TEST(Peers, NoticesWithoutCallsThatAPeerHasContactAgain)
+{
+    PeerWorld world;
+    for (auto& node : world.nodes)
+        node->view.failure = gateway::StoreFailure::NotDone;
+    (void)world.reserve(0, world.programOf(0));
+    EXPECT_GT(world.nodes[0]->contact.awayFor(core::monotonicNow() + seconds(1)), core::Duration::zero());
+    world.nodes[1]->view.failure.reset();
+    (void)runUntil(world.context, [&world] {
+        return world.nodes[0]->contact.awayFor(core::monotonicNow() + seconds(1)) == core::Duration::zero();
+    });
+    const auto reservation = world.reserve(0, world.programOf(0));
+    ASSERT_TRUE(reservation.has_value());
+    EXPECT_EQ(reservation->answer, BudgetAnswer::Granted);
+}
+
 } // namespace lagoontiller::tests
