Write waiting turns as soon as the store is back

Change: turns whose write began before the store came back are written again at once; the content of a turn never changes, so that both may take effect. Test: GatewayStream.WritesTheTurnAsSoonAsTheStoreIsBack failed before.

--- a/source/gateway/Flow.h
+++ b/source/gateway/Flow.h
@@ -56,6 +56,9 @@
     // Answer.
     bool begun = false;
     bool committing = false;
+    /// \brief Attempts to write the turn, and the time of the last one.
+    int commits = 0;
+    core::TimePoint commitStartedAt {};
     /// \brief Pauses between attempts to write the turn.
     state::Backoff commitBackoff { std::chrono::milliseconds(50), std::chrono::milliseconds(250) };
     bool reachedEndpoint = false;
--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -80,6 +80,9 @@
     void respondWhole(Flow& flow);
     void endStream(FlowId id);
     void commitTurn(FlowId id);
+    void commitEnded(FlowId id, int attempt, bool durable, const std::shared_ptr<const Turn>& turn);
+    /// \brief Writes the turn again when the store is back since its last attempt began.
+    void checkCommit(const Flow& flow);
     void answer(FlowId id, const OwnAnswer& own);
     void finish(FlowId id, std::string_view outcome, int status);
 
--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -143,35 +143,50 @@
     if (flow == nullptr)
         return;
     flow->committing = true;
+    flow->commitStartedAt = core::monotonicNow();
+    const auto attempt = ++flow->commits;
     auto turn = std::make_shared<Turn>();
     turn->id = flow->call.id;
     for (const auto& each : flow->chain)
         turn->ancestors.push_back(each->id);
     turn->input = flow->call.body;
     turn->output = flow->output;
-    this->parts.histories.commit(turn, flow->route->retention, [this, id, turn](bool durable) {
-        if (durable) {
-            if (const auto* const waiting = this->find(id))
-                this->parts.peers.offer(waiting->call.program, *turn, core::monotonicNow());
-            this->endStream(id);
-            return;
-        }
-        auto* const waiting = this->find(id);
-        if (waiting == nullptr)
-            return;
-        const auto delay = waiting->commitBackoff.next(this->random);
-        core::logWarning("turn_commit_failed")
-            .with("id", waiting->call.id)
-            .with("again_ms", delay.count() / 1'000)
-            .with("store_away_ms", this->parts.contact.awayFor(core::monotonicNow()).count() / 1'000);
-        auto timer = std::make_shared<asio::steady_timer>(this->parts.context, delay);
-        timer->async_wait([this, id, timer](asio::error_code error) {
-            if (!error)
-                this->commitTurn(id);
-        });
+    this->parts.histories.commit(turn, flow->route->retention,
+        [this, id, attempt, turn](bool durable) { this->commitEnded(id, attempt, durable, turn); });
+}
+
+void Gateway::commitEnded(FlowId id, int attempt, bool durable, const std::shared_ptr<const Turn>& turn)
+{
+    auto* const flow = this->find(id);
+    if (flow == nullptr)
+        return;
+    if (durable) {
+        this->parts.peers.offer(flow->call.program, *turn, core::monotonicNow());
+        this->endStream(id);
+        return;
+    }
+    if (attempt != flow->commits)
+        return;
+    const auto delay = flow->commitBackoff.next(this->random);
+    core::logWarning("turn_commit_failed")
+        .with("id", flow->call.id)
+        .with("attempt", attempt)
+        .with("again_ms", delay.count() / 1'000)
+        .with("store_away_ms", this->parts.contact.awayFor(core::monotonicNow()).count() / 1'000);
+    auto timer = std::make_shared<asio::steady_timer>(this->parts.context, delay);
+    timer->async_wait([this, id, attempt, timer](asio::error_code error) {
+        const auto* const waiting = this->find(id);
+        if (!error && waiting != nullptr && waiting->commits == attempt)
+            this->commitTurn(id);
     });
 }
 
+void Gateway::checkCommit(const Flow& flow)
+{
+    if (flow.committing && flow.commitStartedAt < this->parts.contact.regainedAt())
+        this->commitTurn(flow.id);
+}
+
 void Gateway::endStream(FlowId id)
 {
     auto* const flow = this->find(id);
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -285,10 +285,13 @@
         auto* const flow = this->find(id);
         if (flow == nullptr)
             continue;
-        if (now >= flow->expires)
+        if (now >= flow->expires) {
             this->giveUp(id);
-        else
-            this->checkSilence(*flow, now);
+            continue;
+        }
+        this->checkSilence(*flow, now);
+        if (const auto* const open = this->find(id))
+            this->checkCommit(*open);
     }
 }
 
--- a/source/gateway/StoreContact.cpp
+++ b/source/gateway/StoreContact.cpp
@@ -40,6 +40,7 @@
 {
     if (this->isLost) {
         core::logInfo("store_regained").with("after_ms", this->everFailed ? (now - this->lostAt).count() / 1'000 : 0);
+        this->backAt = now;
     }
     this->isLost = false;
     this->relayDeniedAt.reset();
--- a/source/gateway/StoreContact.h
+++ b/source/gateway/StoreContact.h
@@ -38,6 +38,8 @@
     /// \brief The store's clock now, in milliseconds.
     [[nodiscard]] std::uint64_t storeNow(core::TimePoint now) const noexcept;
     [[nodiscard]] core::TimePoint lastSuccess() const noexcept { return this->succeededAt; }
+    /// \brief Time of the first answered call after the last failure; calls that began before may never be answered.
+    [[nodiscard]] core::TimePoint regainedAt() const noexcept { return this->backAt; }
 
 private:
     bool relays = false;
@@ -48,6 +50,7 @@
     core::TimePoint succeededAt {};
     core::TimePoint failedAt {};
     core::TimePoint lostAt {};
+    core::TimePoint backAt {};
     core::Duration usual = std::chrono::milliseconds(10);
     core::TimePoint doubledAt {};
     std::uint64_t storeMs = 0;
--- a/tests/GatewayStreamTests.cpp
+++ b/tests/GatewayStreamTests.cpp
@@ -84,6 +84,27 @@
     EXPECT_EQ(world.store.rows.size(), 1U);
 }
 
+// Guards against an answer that its caller has left because the turn waited for the time-out of a call that a silent
+// store will never answer, although the store is back.
+TEST(GatewayStream, WritesTheTurnAsSoonAsTheStoreIsBack)
+{
+    GatewayWorld world;
+    ScriptedEndpoint endpoint(world.context, { { wholeStream("a", "x") } });
+    world.serve(streamRoute(false, true), { &endpoint });
+    for (auto start = core::monotonicNow() - std::chrono::seconds(1); start < core::monotonicNow();
+         start += std::chrono::milliseconds(100))
+        world.contact.failed(gateway::StoreFailure::Unknown, start, start);
+    ASSERT_GE(world.contact.callTimeout(), std::chrono::milliseconds(800));
+    world.store.fault = StoreFault::Silent;
+    const auto call = world.call("a", {}, "in");
+    ASSERT_TRUE(runUntil(world.context, [&world] { return world.store.writes == 1; }));
+    world.store.fault = StoreFault::None;
+    world.contact.succeeded(std::chrono::milliseconds(5), core::monotonicNow());
+    EXPECT_TRUE(runUntil(
+        world.context, [&call] { return call->end.has_value(); }, std::chrono::milliseconds(300)));
+    EXPECT_EQ(world.store.writes, 2);
+}
+
 // Guards against a turn whose prompt is not its chain, and against histories that only one process knows.
 TEST(GatewayStream, ContinuesAChainInAnotherProcess)
 {
--- a/tests/support/FakeRowStore.h
+++ b/tests/support/FakeRowStore.h
@@ -4,6 +4,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <deque>
 #include <map>
 #include <set>
@@ -21,6 +22,8 @@
     AnswerLost,
     /// \brief Neither done nor answered now; done by `applyLate` if its conditions still hold.
     Late,
+    /// \brief Not done; the call ends with its time-out.
+    Silent,
 };
 
 /// \brief Rows in memory with the conditions of the platform's store and its faults.
@@ -31,11 +34,17 @@
     {
     }
 
-    void transact(gateway::RowTransaction transaction, core::Duration,
+    void transact(gateway::RowTransaction transaction, core::Duration timeout,
         std::function<void(gateway::StoreResult<gateway::TransactionResult>)> done) override
     {
         ++this->writes;
         switch (this->fault) {
+        case StoreFault::Silent: {
+            const auto timer = std::make_shared<asio::steady_timer>(this->context, timeout);
+            timer->async_wait([timer, done = std::move(done)](
+                                  asio::error_code) { done(tl::unexpected(gateway::StoreFailure::Unknown)); });
+            return;
+        }
         case StoreFault::Down:
             return this->fail(std::move(done), gateway::StoreFailure::NotDone);
         case StoreFault::Overloaded:
