Ask a store that refuses calls at once, also in an outage

A call to such a store costs a millisecond; only a silent one holds callers. Change: calls are left out only while the last failure was a time-out. Test: Peers.AsksAStoreThatRefusesAtOnceForEachCall failed before.

--- a/source/gateway/Budgets.cpp
+++ b/source/gateway/Budgets.cpp
@@ -156,7 +156,7 @@
         return;
     }
     // Heartbeats notice the return of the store; until then every call would wait for its time-out.
-    if (this->contact.awayFor(core::monotonicNow()) > longestUnclearOutage) {
+    if (this->contact.silent() && this->contact.awayFor(core::monotonicNow()) > longestUnclearOutage) {
         this->refuse(program, BudgetAnswer::Unavailable);
         return;
     }
--- a/source/gateway/StoreContact.cpp
+++ b/source/gateway/StoreContact.cpp
@@ -64,6 +64,7 @@
     this->isLost = true;
     this->everFailed = true;
     this->failedAt = now;
+    this->lastFailure = failure;
 }
 
 void StoreContact::clock(std::uint64_t milliseconds, core::TimePoint now)
--- a/source/gateway/StoreContact.h
+++ b/source/gateway/StoreContact.h
@@ -31,6 +31,8 @@
     /// \brief Time since the first of the failed calls since the last success; 0 while there is contact, or while peers
     /// may have it.
     [[nodiscard]] core::Duration awayFor(core::TimePoint now) const noexcept;
+    /// \brief Whether a call would wait for its time-out: the last failed one did, and was not refused.
+    [[nodiscard]] bool silent() const noexcept { return this->failing() && this->lastFailure == StoreFailure::Unknown; }
     /// \brief Whether calls failed within `span`; rows that vanish then may only have lapsed.
     [[nodiscard]] bool troubledWithin(core::Duration span, core::TimePoint now) const noexcept;
     /// \brief Time after which a call counts as unanswered.
@@ -51,6 +53,7 @@
     core::TimePoint failedAt {};
     core::TimePoint lostAt {};
     core::TimePoint backAt {};
+    StoreFailure lastFailure = StoreFailure::NotDone;
     core::Duration usual = std::chrono::milliseconds(10);
     core::TimePoint doubledAt {};
     std::uint64_t storeMs = 0;
--- a/tests/PeersTests.cpp
+++ b/tests/PeersTests.cpp
@@ -461,6 +461,23 @@
     EXPECT_LT(longest, milliseconds(150));
 }
 
+// Guards against programs that are told to come back later although the store, which refuses calls at once and does not
+// stay silent, would have answered.
+TEST(Peers, AsksAStoreThatRefusesAtOnceForEachCall)
+{
+    PeerWorld world;
+    for (auto& node : world.nodes)
+        node->view.failure = gateway::StoreFailure::NotDone;
+    (void)world.reserve(0, world.programOf(0));
+    (void)runUntil(
+        world.context, [&world] { return world.nodes[0]->contact.awayFor(core::monotonicNow()) > milliseconds(600); });
+    for (auto& node : world.nodes)
+        node->view.failure.reset();
+    const auto reservation = world.reserve(0, world.programOf(0));
+    ASSERT_TRUE(reservation.has_value());
+    EXPECT_EQ(reservation->answer, BudgetAnswer::Granted);
+}
+
 // Guards against a node that refuses new programs although a peer has contact again, because nothing asks that peer.
 TEST(Peers, NoticesWithoutCallsThatAPeerHasContactAgain)
 {
