Do not use a budget share that an unanswered write may still lower

Cause, found by reading after the last fault: a write that gives unused tokens back may take effect seconds after its answer was lost. The node read the row meanwhile, still found the higher share, and started turns from it; then the late write took effect and other nodes could take the same tokens. Change: until the row's version has moved on, the share counts no higher than the lowest unanswered write. Tests: GatewayBudget.DoesNotUseAShareThatMayStillBeGivenBack failed before (1,050 of 1,000); the property test now also gives shares back by itself and while nodes end (100 cases passed before and after: it did not find this order of events).

--- a/source/gateway/Budgets.cpp
+++ b/source/gateway/Budgets.cpp
@@ -245,7 +245,11 @@
     auto& program = found->second;
     program.calling = false;
     if (!result) {
-        program.unsure = program.unsure || result.error() == StoreFailure::Unknown;
+        if (result.error() == StoreFailure::Unknown) {
+            program.unsure = true;
+            const auto lowest = program.open ? std::min(program.open->share, share) : share;
+            program.open = OpenWrite { program.version, lowest };
+        }
         const bool again = !program.waiting.empty() && program.waiting.front().unanswered++ < maximumUnanswered
             && this->contact.awayFor(core::monotonicNow()) <= longestUnclearOutage;
         if (result.error() == StoreFailure::Overloaded && !program.waiting.empty()
@@ -263,6 +267,7 @@
     if (result->applied) {
         program.version = result->version;
         program.share = share;
+        program.open.reset();
         program.writtenAt = sentAt;
         this->expiry.written(this->rowKey(id), result->version, sentAt + program.retention + rowMargin);
     } else {
@@ -310,15 +315,26 @@
     program.version = 0;
     program.share = 0;
     wire::BudgetRecord record;
-    if (row == nullptr || row->version == 0 || row->removed || !record.ParseFromString(row->value))
-        return;
-    program.version = row->version;
-    for (const auto& entry : record.shares()) {
-        if (entry.node() == program.owner)
-            program.share = entry.tokens();
-        else
-            program.others[entry.node()] = { entry.tokens(), entry.used() };
+    if (row != nullptr && row->version != 0 && !row->removed && record.ParseFromString(row->value)) {
+        program.version = row->version;
+        for (const auto& entry : record.shares()) {
+            if (entry.node() == program.owner)
+                program.share = entry.tokens();
+            else
+                program.others[entry.node()] = { entry.tokens(), entry.used() };
+        }
     }
+    holdBelowOpenWrite(program);
+}
+
+void Budgets::holdBelowOpenWrite(Program& program)
+{
+    if (!program.open)
+        return;
+    if (program.open->version == program.version)
+        program.share = std::min(program.share, program.open->share);
+    else
+        program.open.reset();
 }
 
 void Budgets::refuse(Program& program, BudgetAnswer answer)
--- a/source/gateway/Budgets.h
+++ b/source/gateway/Budgets.h
@@ -77,6 +77,12 @@
         std::uint64_t tokens = 0;
         std::uint64_t used = 0;
     };
+    /// \brief A transaction without an answer: it may still take effect while the row has this version.
+    struct OpenWrite {
+        std::uint64_t version = 0;
+        /// \brief Lowest own share of such transactions.
+        std::uint64_t share = 0;
+    };
     struct Waiting {
         std::uint64_t tokens = 0;
         Done done;
@@ -104,6 +110,7 @@
         bool calling = false;
         /// \brief A transaction was not answered: the row is read before the next one.
         bool unsure = false;
+        std::optional<OpenWrite> open;
         bool checked = false;
         core::TimePoint lastUsed {};
         /// \brief Time of the last durable write, and of the last attempt to renew the row.
@@ -123,6 +130,8 @@
     void read(const std::string& id, Program& program);
     void rowRead(const std::string& id, StoreResult<RowPage> page);
     void learn(Program& program, const Row* row);
+    /// \brief Keeps the share below what transactions without an answer may still lower it to.
+    static void holdBelowOpenWrite(Program& program);
     void refuse(Program& program, BudgetAnswer answer);
     void pumpLater(const std::string& id, core::Duration delay);
     [[nodiscard]] RowKey rowKey(const std::string& id) const;
--- a/tests/GatewayBudgetTests.cpp
+++ b/tests/GatewayBudgetTests.cpp
@@ -104,7 +104,13 @@
         world.store.fault = *rc::gen::weightedElement<StoreFault>({ { 6, StoreFault::None }, { 1, StoreFault::Down },
             { 1, StoreFault::AnswerLost }, { 1, StoreFault::Late } });
         const auto node = *rc::gen::inRange<std::size_t>(0, 3);
-        switch (*rc::gen::inRange(0, 6)) {
+        switch (*rc::gen::inRange(0, 8)) {
+        case 2:
+            world.tickAll(seconds(1));
+            break;
+        case 3:
+            world.release(node);
+            break;
         case 0:
             world.restart(node);
             break;
@@ -221,6 +227,28 @@
     EXPECT_NE(world.reserve(0), BudgetAnswer::Granted);
 }
 
+// Guards against tokens that two nodes hand out: a share that is given back takes effect seconds after its answer was
+// lost, when the node already uses it again.
+TEST(GatewayBudget, DoesNotUseAShareThatMayStillBeGivenBack)
+{
+    BudgetWorld world(1);
+    ASSERT_EQ(world.reserve(0), BudgetAnswer::Granted);
+    world.settle(0, 50);
+    world.store.fault = StoreFault::Late;
+    world.tickAll(seconds(1));
+    world.store.fault = StoreFault::None;
+    ASSERT_EQ(world.reserve(0), BudgetAnswer::Granted);
+    world.settle(0, turnTokens);
+    world.store.applyLate();
+    world.restart(0);
+    std::uint64_t granted = 50 + turnTokens;
+    while (world.reserve(0) == BudgetAnswer::Granted) {
+        world.settle(0, turnTokens);
+        granted += turnTokens;
+    }
+    EXPECT_LE(granted, budget);
+}
+
 // Guards against a lost answer that refuses the turn: the row says what was granted.
 TEST(GatewayBudget, ReadsTheRowAfterALostAnswer)
 {
