Do not take a call of an outage that is over for a new one

Change: an unanswered call that began before the last answer does not change the contact; it still counts as trouble for rows that may have lapsed, and still lengthens the time-out.

--- a/source/gateway/StoreContact.cpp
+++ b/source/gateway/StoreContact.cpp
@@ -52,18 +52,22 @@
 {
     if (failure == StoreFailure::HistoryGone)
         return;
-    if (!this->isLost || !this->everFailed) {
-        core::logWarning("store_lost").with("reason", text(failure));
-        this->lostAt = now;
-    }
     // An unanswered call may be a slow one: later calls wait longer. Calls that were under way together count once.
     if (failure == StoreFailure::Unknown && startedAt >= this->doubledAt) {
         this->usual = std::min(std::max(this->usual, shortestTimeout / timeoutMultiple) * 2, longestUsual);
         this->doubledAt = now;
     }
-    this->isLost = true;
-    this->everFailed = true;
+    const bool lostBefore = this->failing();
     this->failedAt = now;
+    this->everFailed = true;
+    // The store has answered since an unanswered call began: the call was lost, or hung in an outage that is over.
+    if (failure == StoreFailure::Unknown && startedAt < this->succeededAt)
+        return;
+    if (!lostBefore) {
+        core::logWarning("store_lost").with("reason", text(failure));
+        this->lostAt = now;
+    }
+    this->isLost = true;
     this->lastFailure = failure;
 }
 
