Insert endpoints into a service's list in place

What grows is the start: each new endpoint rebuilt and sorted the list of its service from all endpoints. Change: the list is sorted and changed in place.

--- a/source/gateway/Directory.cpp
+++ b/source/gateway/Directory.cpp
@@ -46,9 +46,9 @@
     const auto state = entry.draining ? policy::EndpointState::Leaving : policy::EndpointState::Live;
     const auto changes = this->health.upsert(known.healthId, this->serviceId(entry.service), state, now);
     this->apply(changes);
-    this->refresh(entry.service);
     if (!previousService.empty() && previousService != entry.service)
-        this->refresh(previousService);
+        this->setServing(previousService, entry.id, false);
+    this->setServing(entry.service, entry.id, !entry.draining);
 }
 
 void Directory::remove(const std::string& id, core::TimePoint now)
@@ -62,7 +62,7 @@
     this->endpoints.erase(found);
     this->byHealthId.erase(healthId);
     this->apply(this->health.upsert(healthId, this->serviceId(service), policy::EndpointState::Gone, now));
-    this->refresh(service);
+    this->setServing(service, id, false);
 }
 
 const KnownEndpoint* Directory::find(const std::string& id) const
@@ -148,15 +148,15 @@
     }
 }
 
-void Directory::refresh(const std::string& service)
+void Directory::setServing(const std::string& service, const std::string& id, bool serving)
 {
     auto& list = this->services[service];
-    list.clear();
-    for (const auto& [id, known] : this->endpoints) {
-        if (known.entry.service == service && !known.entry.draining)
-            list.push_back(id);
-    }
-    std::sort(list.begin(), list.end());
+    const auto place = std::lower_bound(list.begin(), list.end(), id);
+    const bool listed = place != list.end() && *place == id;
+    if (serving && !listed)
+        list.insert(place, id);
+    else if (!serving && listed)
+        list.erase(place);
 }
 
 policy::ServiceId Directory::serviceId(const std::string& service)
--- a/source/gateway/Directory.h
+++ b/source/gateway/Directory.h
@@ -46,7 +46,8 @@
 
 private:
     void apply(const std::vector<policy::HealthChange>& changes);
-    void refresh(const std::string& service);
+    /// \brief Adds the endpoint to the service's list, or takes it out; the list stays sorted.
+    void setServing(const std::string& service, const std::string& id, bool serving);
     [[nodiscard]] policy::ServiceId serviceId(const std::string& service);
     KnownEndpoint* ended(const std::string& id);
 
