--- a/source/gateway/EndpointDirectory.cpp
+++ b/source/gateway/EndpointDirectory.cpp
@@ -44,12 +44,28 @@
         .with("address", entry.address)
         .with("zone", entry.zone)
         .with("state", entry.draining ? "draining" : "ready");
-    const auto state = entry.draining ? policy::EndpointState::Leaving : policy::EndpointState::Live;
-    const auto changes = this->health.upsert(endpoint.healthId, this->serviceId(entry.service), state, now);
-    this->applyHealthChanges(changes);
     if (!previousService.empty() && previousService != entry.service)
         this->setServing(previousService, entry.id, false);
-    this->setServing(entry.service, entry.id, !entry.draining);
+    this->updateState(endpoint, now);
+}
+
+void EndpointDirectory::updateState(const TrackedEndpoint& endpoint, core::TimePoint now)
+{
+    const auto& entry = endpoint.entry;
+    const bool serving = !entry.draining && !endpoint.leaving;
+    const auto state = serving ? policy::EndpointState::Live : policy::EndpointState::Leaving;
+    this->applyHealthChanges(this->health.upsert(endpoint.healthId, this->serviceId(entry.service), state, now));
+    this->setServing(entry.service, entry.id, serving);
+}
+
+void EndpointDirectory::markLeaving(const std::string& id, std::int64_t startedAt, core::TimePoint now)
+{
+    const auto found = this->endpoints.find(id);
+    if (found == this->endpoints.end() || found->second.leaving || found->second.entry.startedAt != startedAt)
+        return;
+    core::logInfo("endpoint_leaving").with("endpoint", id);
+    found->second.leaving = true;
+    this->updateState(found->second, now);
 }
 
 void EndpointDirectory::remove(const std::string& id, core::TimePoint now)
--- a/source/gateway/EndpointDirectory.h
+++ b/source/gateway/EndpointDirectory.h
@@ -19,6 +19,8 @@
     core::TimePoint fullUntil {};
     /// \brief Consecutive refusals since the last successful call.
     int refusals = 0;
+    /// \brief A response of this process stated that it is shutting down.
+    bool leaving = false;
 };
 
 /// \brief Endpoints of all services with their load and health as observed by this node.
@@ -44,6 +46,9 @@
     void callFailed(const std::string& id, policy::FailureKind kind, core::TimePoint now);
     /// \brief Records a call that the endpoint refused without executing it.
     void callRefused(const std::string& id, core::TimePoint now);
+    /// \brief Takes the process that started at `startedAt` (Unix milliseconds) out of service, whatever its entry
+    /// states. A process that has replaced it since is not affected.
+    void markLeaving(const std::string& id, std::int64_t startedAt, core::TimePoint now);
     /// \brief Records a call that was cancelled by this node or by its caller.
     void callAbandoned(const std::string& id);
     /// \brief Updates the traffic shares as time passes; call periodically.
@@ -51,6 +56,8 @@
     [[nodiscard]] std::size_t size() const noexcept { return this->endpoints.size(); }
 
 private:
+    /// \brief Applies the entry and the leaving mark to health and to the list of serving endpoints.
+    void updateState(const TrackedEndpoint& endpoint, core::TimePoint now);
     void applyHealthChanges(const std::vector<policy::HealthChange>& changes);
     /// \brief Adds the endpoint to the service's sorted list, or removes it.
     void setServing(const std::string& service, const std::string& id, bool serving);
--- a/source/gateway/EndpointLossTracker.cpp
+++ b/source/gateway/EndpointLossTracker.cpp
@@ -12,6 +12,7 @@
 /// \brief Delay before an endpoint is probed; its other connections break within this time.
 constexpr core::Duration verificationDelay = std::chrono::milliseconds(100);
 constexpr core::Duration verificationTimeout = std::chrono::milliseconds(500);
+constexpr std::size_t maxHealthResponseBytes = 65'536;
 /// \brief Retention of loss rows; also the window and the isolation time of the ledger.
 constexpr core::Duration rowRetention = std::chrono::minutes(2);
 
@@ -56,6 +57,7 @@
     exchange.connectTimeout = verificationTimeout;
     exchange.responseTimeout = verificationTimeout;
     exchange.maxIdleTime = core::Duration::zero();
+    exchange.maxBodyBytes = maxHealthResponseBytes;
     transport::ExchangeEvents events;
     events.head = [](transport::ResponseHead&&) {};
     events.body = [](std::string&&) {};
--- a/source/gateway/EventStreamParser.h
+++ b/source/gateway/EventStreamParser.h
@@ -24,6 +24,8 @@
     [[nodiscard]] std::vector<StreamEvent> feed(std::string_view bytes);
     /// \brief Whether the bytes received so far end inside an event.
     [[nodiscard]] bool hasPartialEvent() const noexcept { return !this->buffer.empty(); }
+    /// \brief Number of bytes of the incomplete event at the end.
+    [[nodiscard]] std::size_t partialEventBytes() const noexcept { return this->buffer.size(); }
 
 private:
     std::string buffer;
--- a/source/gateway/Flow.h
+++ b/source/gateway/Flow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/AttemptProgress.h"
 #include "gateway/EventStreamParser.h"
 #include "gateway/PeerService.h"
 #include "gateway/Types.h"
@@ -13,11 +14,20 @@
 
 /// \brief An attempt of a call that is in progress at an endpoint.
 struct FlowAttempt {
+    FlowAttempt(std::string endpoint, std::int64_t endpointStartedAt, core::TimePoint sentAt)
+        : endpoint(std::move(endpoint))
+        , endpointStartedAt(endpointStartedAt)
+        , sentAt(sentAt)
+        , progress(sentAt)
+    {
+    }
+
     transport::ExchangeId exchange = 0;
     std::string endpoint;
+    /// \brief Identifies the endpoint's process, like `Endpoint::startedAt`.
+    std::int64_t endpointStartedAt = 0;
     core::TimePoint sentAt {};
-    /// \brief Time at which the endpoint last sent any bytes.
-    core::TimePoint lastReceivedAt {};
+    AttemptProgress progress;
     std::optional<EndpointResponse> response;
     /// \brief Body of a response that is buffered instead of streamed.
     std::string body;
--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -6,6 +6,7 @@
 #include "gateway/EndpointLossTracker.h"
 #include "gateway/Flow.h"
 #include "gateway/Placement.h"
+#include "gateway/ResponseMemory.h"
 #include "gateway/RouteTable.h"
 
 namespace lagoontiller::gateway {
@@ -23,13 +24,17 @@
     core::MetricRegistry& metrics;
 };
 
+inline constexpr std::size_t defaultMaxResponseBytes = 32U << 20U;
+
 /// \brief Forwards callers' requests to endpoints and the unmodified responses back.
 ///
 /// Not thread-safe: all functions run on the thread of the I/O context. A call is prepared (budget, history), attempted
 /// at one or more endpoints, and answered. The kind of its route determines whether it may be retried.
 class Gateway {
 public:
-    Gateway(GatewayDependencies dependencies, NodeLocation location, std::uint64_t seed);
+    /// \brief `maxResponseBytes` limits the bytes of incomplete responses that all calls together hold in memory.
+    Gateway(GatewayDependencies dependencies, NodeLocation location, std::uint64_t seed,
+        std::size_t maxResponseBytes = defaultMaxResponseBytes);
 
     /// \brief Replaces the configuration; calls in progress keep their route and service.
     void configure(std::shared_ptr<const Configuration> configuration);
@@ -42,6 +47,9 @@
     /// retried; call every `tickInterval`.
     void tick(core::TimePoint now);
 
+    /// \brief Ends all calls in progress, as if their deadline had passed.
+    void endAll();
+
     [[nodiscard]] std::size_t callsInProgress() const noexcept { return this->flows.size(); }
 
 private:
@@ -74,12 +82,17 @@
     /// \brief Whether the call may be sent again although an endpoint may have executed it.
     [[nodiscard]] bool mayRetry(const Flow& flow) const;
     void checkInactivity(Flow& flow, core::TimePoint now);
+    /// \brief Whether the tick comes so late that this process was paused. Responses may have arrived meanwhile and
+    /// are handled before the next tick.
+    [[nodiscard]] bool resumedAfterPause(core::TimePoint now);
     void expire(FlowId id);
 
     // Responses (GatewayAnswers.cpp).
     void handleResponseHead(FlowId id, transport::ResponseHead&& head);
     void handleResponseBody(FlowId id, std::string&& bytes);
     void forwardEvents(Flow& flow, std::string_view bytes, core::TimePoint now);
+    /// \brief Updates the memory that the call's response takes, and ends attempts that exceed a limit.
+    void limitResponseMemory(FlowId id, core::TimePoint now);
     void handleResponseEnd(Flow& flow, core::TimePoint now);
     void forwardWholeResponse(Flow& flow);
     void endStream(FlowId id);
@@ -103,6 +116,9 @@
     /// \brief Per service, the last time at which a reused connection broke before a response.
     std::unordered_map<std::string, core::TimePoint> reusedConnectionBrokenAt;
     std::unordered_map<FlowId, Flow> flows;
+    ResponseMemory responseMemory;
+    core::TimePoint lastTickAt {};
+    bool lastTickWasLate = false;
     std::unordered_map<transport::ConnectionId, FlowId> flowByConnection;
     FlowId lastFlowId = 0;
 };
--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -34,10 +34,12 @@
 
 } // namespace
 
-Gateway::Gateway(GatewayDependencies dependencies, NodeLocation location, std::uint64_t seed)
+Gateway::Gateway(
+    GatewayDependencies dependencies, NodeLocation location, std::uint64_t seed, std::size_t maxResponseBytes)
     : dependencies(dependencies)
     , location(std::move(location))
     , random(seed)
+    , responseMemory(maxResponseBytes)
 {
 }
 
--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -10,6 +10,8 @@
 
 /// \brief Maximum size of a response that is buffered in memory.
 constexpr std::size_t maxBufferedResponseBytes = 16U << 20U;
+/// \brief Maximum size of one event of a stream.
+constexpr std::size_t maxEventBytes = 1U << 20U;
 /// \brief Maximum number of unsent bytes for a slow caller before its stream is aborted.
 constexpr std::size_t maxCallerBacklogBytes = 1U << 20U;
 /// \brief Typical durations for the latency comparison of endpoints; a stream consists of the prefill and 17 events
@@ -31,8 +33,12 @@
     auto* const flow = this->find(id);
     if (flow == nullptr || !flow->attempt)
         return;
-    flow->attempt->lastReceivedAt = core::monotonicNow();
-    flow->attempt->response = platform::decodeResponse(std::move(head));
+    const auto now = core::monotonicNow();
+    auto& attempt = *flow->attempt;
+    attempt.progress.headReceived(now);
+    attempt.response = platform::decodeResponse(std::move(head));
+    if (attempt.response->leaving)
+        this->dependencies.endpointDirectory.markLeaving(attempt.endpoint, attempt.endpointStartedAt, now);
 }
 
 void Gateway::handleResponseBody(FlowId id, std::string&& bytes)
@@ -42,17 +48,36 @@
         return;
     const auto now = core::monotonicNow();
     auto& attempt = *flow->attempt;
-    attempt.lastReceivedAt = now;
     const auto& answer = *attempt.response;
     if (isSuccess(answer.status) && answer.hasOriginProof && !answer.hasContentCoding && answer.eventStream) {
         this->forwardEvents(*flow, bytes, now);
-        return;
+    } else {
+        attempt.progress.bodyReceived(bytes.size(), now);
+        attempt.body.append(bytes);
     }
-    attempt.body.append(bytes);
-    if (attempt.body.size() > maxBufferedResponseBytes) {
-        this->dependencies.endpoints.cancel(attempt.exchange);
-        this->attemptFailed(*flow, policy::FailureKind::ServerError, "answer_too_large", now);
+    this->limitResponseMemory(id, now);
+}
+
+void Gateway::limitResponseMemory(FlowId id, core::TimePoint now)
+{
+    auto* flow = this->find(id);
+    if (flow == nullptr || !flow->attempt)
+        return;
+    const auto fail = [this, now](Flow& failing, std::string_view cause) {
+        this->dependencies.endpoints.cancel(failing.attempt->exchange);
+        this->attemptFailed(failing, policy::FailureKind::ServerError, cause, now);
+    };
+    const auto& attempt = *flow->attempt;
+    const auto eventBytes = attempt.eventParser.partialEventBytes();
+    if (attempt.body.size() > maxBufferedResponseBytes || eventBytes > maxEventBytes) {
+        fail(*flow, "answer_too_large");
+        return;
     }
+    const auto largest = this->responseMemory.hold(id, attempt.body.size() + eventBytes + flow->output.size());
+    if (!largest)
+        return;
+    if (auto* const failing = this->find(*largest); failing != nullptr && failing->attempt)
+        fail(*failing, "memory_exceeded");
 }
 
 void Gateway::forwardEvents(Flow& flow, std::string_view bytes, core::TimePoint now)
@@ -64,6 +89,7 @@
         if (event.id)
             flow.lastEvent = event.id;
         if (event.hasData) {
+            flow.attempt->progress.eventsReceived(now);
             ++flow.eventCount;
             if (flow.route->keepsHistory)
                 flow.output.append(event.data).append("\n");
@@ -120,6 +146,7 @@
         this->dependencies.callers.begin(flow.connection, platform::encodeForwardedResponseHead(answer));
     }
     flow.attempt.reset();
+    this->responseMemory.release(flow.id);
     if (flow.route->keepsHistory)
         this->commitTurn(flow.id);
     else
@@ -219,6 +246,7 @@
     const auto found = this->flows.find(id);
     const auto now = core::monotonicNow();
     auto& flow = found->second;
+    this->responseMemory.release(id);
     if (flow.reservation) {
         const auto perEvent = flow.service->engine ? flow.service->engine->tokensPerEvent : 1;
         this->dependencies.peerService.settle(flow.call.program, *flow.reservation, flow.eventCount * perEvent, now);
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -27,11 +27,10 @@
 constexpr core::Duration connectTimeout = std::chrono::milliseconds(700);
 /// \brief Prefill rate of an engine in prompt tokens per millisecond (site data sheets).
 constexpr double prefillTokensPerMs = 30.6;
-/// \brief Time without bytes after which a resumable stream moves to another endpoint; below the 2 s after which
-/// callers disconnect.
-constexpr core::Duration streamInactivityTimeout = std::chrono::milliseconds(1'200);
-/// \brief An idempotent call is retried at another endpoint after this fraction of its remaining time without bytes.
-constexpr int inactivityDivisor = 2;
+/// \brief Maximum size of a stream; other responses are limited by the buffer that holds them.
+constexpr std::size_t maxStreamBytes = 64U << 20U;
+/// \brief A tick that is later than this shows that the process was paused.
+constexpr core::Duration maxTickDelay = std::chrono::milliseconds(500);
 /// \brief Retry delay for callers when all endpoints are full.
 constexpr core::Duration retryAfterEndpointsFull = std::chrono::milliseconds(300);
 /// \brief Expected service times of a plain call and of a stream, for the load estimate of endpoints.
@@ -94,6 +93,11 @@
 void Gateway::dispatch(FlowId id, core::TimePoint now)
 {
     auto& flow = *this->find(id);
+    // The process may have been paused since the call was admitted or its last attempt was sent.
+    if (now >= flow.deadline) {
+        this->expire(id);
+        return;
+    }
     const auto request = placementRequest(flow);
     const auto decision
         = chooseEndpoint(request, this->dependencies.endpointDirectory, this->location, now, this->random);
@@ -123,6 +127,8 @@
     transport::ExchangeOptions options;
     options.connectTimeout = connectTimeout;
     options.maxIdleTime = this->maxIdleTime(flow, now);
+    if (flow.route->kind == CallKind::Streaming)
+        options.maxBodyBytes = maxStreamBytes;
     platform::setResponseMatching(options, flow.call);
     transport::ExchangeEvents events;
     events.head = [this, id](transport::ResponseHead&& head) { this->handleResponseHead(id, std::move(head)); };
@@ -136,10 +142,8 @@
         .with("candidates", decision.candidates)
         .with("configuration", this->configuration->version)
         .with("remaining_ms", request.remaining.count() / 1'000);
-    flow.attempt.emplace();
-    flow.attempt->endpoint = decision.endpoint;
-    flow.attempt->sentAt = now;
-    flow.attempt->lastReceivedAt = now;
+    const auto* const endpoint = this->dependencies.endpointDirectory.find(decision.endpoint);
+    flow.attempt.emplace(decision.endpoint, endpoint->entry.startedAt, now);
     this->dependencies.endpointDirectory.callSent(decision.endpoint, now);
     flow.attempt->exchange = this->dependencies.endpoints.send(
         decision.address, platform::encodeRequest(flow.call, request), std::move(options), std::move(events));
@@ -227,6 +231,7 @@
     this->dependencies.endpointDirectory.callFailed(
         flow.attempt->endpoint, kind == policy::FailureKind::Crashed ? policy::FailureKind::ServerError : kind, now);
     flow.attempt.reset();
+    this->responseMemory.release(flow.id);
     ++flow.possibleRuns;
     if (this->mayRetry(flow)) {
         this->dispatch(flow.id, now);
@@ -256,14 +261,8 @@
 {
     if (!flow.attempt || flow.committing || flow.possibleRuns + 1 >= flow.route->maxAttempts)
         return;
-    const auto inactiveFor = now - flow.attempt->lastReceivedAt;
-    const bool stream = flow.route->kind == CallKind::Streaming;
-    if (stream && !flow.route->resumable)
-        return;
-    if (!stream && flow.route->kind != CallKind::Idempotent)
-        return;
-    const auto limit = stream ? streamInactivityTimeout : (flow.deadline - flow.attempt->sentAt) / inactivityDivisor;
-    if (inactiveFor < limit)
+    const auto limit = inactivityLimit(*flow.route, flow.deadline - flow.attempt->sentAt);
+    if (!limit || flow.attempt->progress.timeWithoutProgress(now) < *limit)
         return;
     this->dependencies.endpoints.cancel(flow.attempt->exchange);
     this->attemptFailed(flow, policy::FailureKind::Silent, "silent", now);
@@ -281,12 +280,41 @@
         this->respond(id, { 503, core::ResultCode::DeadlineExceeded, "time_over", retryAfterEndpointsFull });
 }
 
-void Gateway::tick(core::TimePoint now)
+void Gateway::endAll()
 {
     std::vector<FlowId> ids;
     ids.reserve(this->flows.size());
     for (const auto& [id, flow] : this->flows)
         ids.push_back(id);
+    for (const auto id : ids) {
+        if (this->find(id) != nullptr)
+            this->expire(id);
+    }
+}
+
+bool Gateway::resumedAfterPause(core::TimePoint now)
+{
+    const bool late = this->lastTickAt != core::TimePoint() && now - this->lastTickAt > maxTickDelay;
+    const bool paused = late && !this->lastTickWasLate;
+    this->lastTickAt = now;
+    this->lastTickWasLate = late;
+    return paused;
+}
+
+void Gateway::tick(core::TimePoint now)
+{
+    const bool paused = this->resumedAfterPause(now);
+    std::vector<FlowId> ids;
+    ids.reserve(this->flows.size());
+    for (auto& [id, flow] : this->flows) {
+        if (paused && flow.attempt)
+            flow.attempt->progress.restart(now);
+        ids.push_back(id);
+    }
+    if (paused) {
+        core::logWarning("process_was_paused").with("calls", ids.size());
+        return;
+    }
     for (const auto id : ids) {
         auto* const flow = this->find(id);
         if (flow == nullptr)
--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -17,6 +17,9 @@
 
 /// \brief Fraction of the process memory for cached turns; connections and calls in progress need the rest.
 constexpr std::size_t turnCacheMemoryDivisor = 6;
+/// \brief Fraction of the process memory for incomplete responses.
+constexpr std::size_t responseMemoryDivisor = 8;
+constexpr std::size_t minResponseMemoryBytes = 1U << 20U;
 /// \brief Base64 encodes 3 bytes as 4 characters. The record around the texts needs part of the remaining bytes.
 constexpr std::size_t base64DecodedBytes = 3;
 constexpr std::size_t base64EncodedBytes = 4;
@@ -123,7 +126,8 @@
     , lossTracker(this->context, this->endpointPool, this->store, this->storeHealth, this->rowExpiry)
     , gateway({ this->context, this->callerServer, this->endpointPool, this->endpointDirectory, this->turnStore,
                   this->peerService, this->lossTracker, this->storeHealth, this->metrics },
-          { this->settings->zone, this->settings->region, this->settings->zones, 1 }, std::random_device()())
+          { this->settings->zone, this->settings->region, this->settings->zones, 1 }, std::random_device()(),
+          std::max(this->settings->memoryBytes / responseMemoryDivisor, minResponseMemoryBytes))
     , configurationWatch(this->context, this->directStore, this->storeHealth, std::string(platform::configurationTable),
           { [this](const Row& row) { this->configurationChanged(row); }, [](const std::string&) {} })
     , endpointWatch(this->context, this->directStore, this->storeHealth, std::string(platform::endpointTable),
@@ -216,15 +220,17 @@
         this->entryServer.respond(connection, transport::statusLine(404), {});
         return;
     }
-    const auto addresses = this->nodeRegistry.addressesFor(query->zone, query->region, maxEntryAddresses);
-    if (addresses.empty()) {
-        this->entryServer.respond(connection, transport::statusLine(503), {});
-        return;
-    }
-    auto head = transport::statusLine(200);
-    transport::appendField(head, "Content-Type", "application/json");
-    this->entryServer.respond(connection, head,
-        platform::encodeEntryResponse(addresses, std::min(maxEntryValidity, this->settings->entryValidity)));
+    this->nodeRegistry.refreshZone(query->zone, core::monotonicNow(), [this, connection, query] {
+        const auto addresses = this->nodeRegistry.addressesFor(query->zone, query->region, maxEntryAddresses);
+        if (addresses.empty()) {
+            this->entryServer.respond(connection, transport::statusLine(503), {});
+            return;
+        }
+        auto head = transport::statusLine(200);
+        transport::appendField(head, "Content-Type", "application/json");
+        this->entryServer.respond(connection, head,
+            platform::encodeEntryResponse(addresses, std::min(maxEntryValidity, this->settings->entryValidity)));
+    });
 }
 
 void Node::respondToReady(transport::ConnectionId connection, const transport::Request& request)
@@ -281,25 +287,30 @@
     this->peerService.startDraining();
 }
 
-void Node::continueStop()
+void Node::continueStop(core::TimePoint now)
 {
-    const auto elapsed = core::monotonicNow() - this->stopStartedAt;
+    const auto elapsed = now - this->stopStartedAt;
     const auto latest = this->settings->stopGrace - forcedStopReserve;
-    if (elapsed > latest - stopAcceptingLead)
-        this->callerServer.stopAccepting();
     const bool idle = this->gateway.callsInProgress() == 0;
     this->tokenBudgets.returnUnusedShares();
-    if ((idle && elapsed > std::min(minStopDuration, latest)) || elapsed > latest) {
+    if (!this->leaving) {
+        if (elapsed <= latest - stopAcceptingLead && !(idle && elapsed > std::min(minStopDuration, latest)))
+            return;
         core::logInfo("node_leaving")
             .with("in_progress", this->gateway.callsInProgress())
             .with("after_ms", elapsed.count() / 1'000);
-        if (this->deregistered)
-            this->context.stop();
-        // The row is removed before the next tick ends the process. If the call is lost, the other nodes remove the
-        // row.
-        this->deregistered = true;
+        this->leaving = true;
+        // If the call is lost, the other nodes remove the row.
         this->nodeRegistry.deregister();
+        this->callerServer.stopAccepting();
+        return;
     }
+    if (elapsed > latest)
+        this->gateway.endAll();
+    // Connections with a request or unsent output stay open, so they are complete once none is left.
+    this->callerServer.closeIdle();
+    if ((idle && this->callerServer.openConnections() == 0) || elapsed > latest + tickInterval * 2)
+        this->context.stop();
 }
 
 void Node::tick()
@@ -312,7 +323,7 @@
         this->gateway.tick(now);
         this->peerService.tick(now);
         if (this->stopping)
-            this->continueStop();
+            this->continueStop(now);
         if (now >= this->nextPeriodicTasksAt)
             this->runPeriodicTasks(now);
         core::flushLogs();
--- a/source/gateway/Node.h
+++ b/source/gateway/Node.h
@@ -33,7 +33,7 @@
     void waitForSignal();
     void reloadSettings();
     void stop();
-    void continueStop();
+    void continueStop(core::TimePoint now);
     void tick();
     void runPeriodicTasks(core::TimePoint now);
     [[nodiscard]] bool ready() const;
@@ -75,7 +75,7 @@
     TableWatch lossWatch;
     bool configured = false;
     bool stopping = false;
-    bool deregistered = false;
+    bool leaving = false;
     core::TimePoint stopStartedAt {};
     core::TimePoint nextPeriodicTasksAt {};
 };
--- a/source/gateway/NodeRegistry.cpp
+++ b/source/gateway/NodeRegistry.cpp
@@ -12,6 +12,8 @@
 
 /// \brief Minimum heartbeat interval; a fifth of the maximum time for which callers cache an address (5 s).
 constexpr core::Duration minHeartbeatInterval = std::chrono::milliseconds(1'000);
+/// \brief Longest interval that another node may announce.
+constexpr core::Duration maxHeartbeatInterval = std::chrono::minutes(1);
 /// \brief Heartbeats per second of all nodes together; a quarter of the write rate of the smallest store (800 per
 /// second).
 constexpr std::size_t maxHeartbeatsPerSecond = 200;
@@ -25,8 +27,12 @@
 constexpr core::Duration deadNodeRetention = std::chrono::minutes(5);
 /// \brief Heartbeats between two reads of another zone. These reads only serve callers of zones without nodes.
 constexpr std::uint32_t heartbeatsPerOtherZoneRead = 4;
+/// \brief Age up to which the state of another zone is used for an entry answer without reading it again.
+constexpr core::Duration maxEntryStateAge = std::chrono::milliseconds(500);
+/// \brief Maximum time of that read; callers wait one second for an entry answer.
+constexpr core::Duration maxRefreshTime = std::chrono::milliseconds(400);
 
-std::string encode(const NodeEntry& entry, std::uint64_t heartbeat, core::Duration interval)
+std::string encode(const NodeEntry& entry, std::uint64_t heartbeat, core::Duration interval, std::uint64_t writtenAtMs)
 {
     wire::NodeRecord record;
     record.set_name(entry.name);
@@ -37,9 +43,18 @@
     record.set_ready(entry.ready);
     record.set_heartbeat(heartbeat);
     record.set_interval_ms(static_cast<std::uint64_t>(interval.count() / 1'000));
+    record.set_written_at_ms(writtenAtMs);
     return record.SerializeAsString();
 }
 
+/// \brief Whether the record is that of the node whose row contains it, with values in the range that nodes write.
+bool isValid(const wire::NodeRecord& record, const RowKey& key)
+{
+    const auto maxIntervalMs = std::chrono::duration_cast<std::chrono::milliseconds>(maxHeartbeatInterval).count();
+    return record.name() == key.key && record.zone() == key.part
+        && record.interval_ms() <= static_cast<std::uint64_t>(maxIntervalMs);
+}
+
 } // namespace
 
 NodeRegistry::NodeRegistry(asio::io_context& context, RowStore& store, StoreHealth& storeHealth, NodeEntry self,
@@ -111,7 +126,9 @@
         return;
     RowTransaction transaction;
     transaction.puts.push_back({ { table, this->self.zone, this->self.name },
-        encode(this->self, ++this->heartbeat, heartbeatInterval(this->knownNodes.size())), 0, false });
+        encode(this->self, ++this->heartbeat, heartbeatInterval(this->knownNodes.size()),
+            this->storeHealth.knowsStoreTime() ? this->storeHealth.storeTimeMs(core::monotonicNow()) : 0),
+        0, false });
     this->store.transact(
         std::move(transaction), this->storeHealth.callTimeout(), [this](const StoreResult<TransactionResult>& result) {
             // A failed write is repeated by the next heartbeat; StoreHealth logs the failure.
@@ -129,6 +146,39 @@
         [this, zone](const StoreResult<RowPage>& page) { this->zoneRead(zone, page); });
 }
 
+void NodeRegistry::refreshZone(const std::string& zone, core::TimePoint now, std::function<void()> done)
+{
+    const auto read = this->readAt.find(zone);
+    const bool recent = read != this->readAt.end() && now - read->second <= maxEntryStateAge;
+    const bool known = std::find(this->zones.begin(), this->zones.end(), zone) != this->zones.end();
+    if (zone == this->self.zone || !known || recent || this->storeHealth.unreachable()) {
+        done();
+        return;
+    }
+    auto& waiters = this->refreshWaiters[zone];
+    waiters.push_back(std::move(done));
+    if (waiters.size() > 1)
+        return;
+    RowRange range;
+    range.table = table;
+    range.part = zone;
+    const auto timeout = std::min(this->storeHealth.callTimeout(), maxRefreshTime);
+    this->store.read(range, timeout, [this, zone](const StoreResult<RowPage>& page) {
+        this->zoneRead(zone, page);
+        for (const auto& waiter : std::exchange(this->refreshWaiters[zone], {}))
+            waiter();
+    });
+}
+
+bool NodeRegistry::isOutdated(const KnownNode& node, core::TimePoint now) const
+{
+    const auto allowance = node.interval * deadAfterIntervalTenths / 10;
+    if (node.entry.zone == this->self.zone || node.writtenAtMs == 0 || this->storeHealth.failedWithin(allowance, now))
+        return false;
+    const auto allowanceMs = static_cast<std::uint64_t>(allowance.count() / 1'000);
+    return this->storeHealth.storeTimeMs(now) > node.writtenAtMs + allowanceMs;
+}
+
 void NodeRegistry::zoneRead(const std::string& zone, const StoreResult<RowPage>& page)
 {
     if (!page)
@@ -153,7 +203,7 @@
         // After a gap without reads, a node gets another full interval before its heartbeat counts as missed.
         if (gap > allowance)
             node.changedAt = std::max(node.changedAt, now - node.interval);
-        const bool alive = now - node.changedAt <= allowance;
+        const bool alive = now - node.changedAt <= allowance && !this->isOutdated(node, now);
         if (alive != node.alive)
             core::logInfo("node_liveness").with("peer", name).with("alive", alive ? "yes" : "no");
         node.alive = alive;
@@ -178,17 +228,25 @@
 
 void NodeRegistry::updateNode(const Row& row, core::TimePoint now)
 {
+    if (const auto rejected = this->rejectedVersions.find(row.key.key);
+        rejected != this->rejectedVersions.end() && rejected->second == row.version)
+        return;
     wire::NodeRecord record;
-    if (!record.ParseFromString(row.value)) {
-        core::logWarning("node_row_unreadable").with("peer", row.key.key);
+    if (!record.ParseFromString(row.value) || !isValid(record, row.key)) {
+        core::logWarning("node_row_unreadable").with("peer", row.key.key).with("bytes", row.value.size());
+        this->rejectedVersions[row.key.key] = row.version;
+        this->knownNodes.erase(row.key.key);
         return;
     }
+    this->rejectedVersions.erase(row.key.key);
     auto& node = this->knownNodes[row.key.key];
     if (node.version == row.version)
         return;
     node.version = row.version;
     node.changedAt = now;
-    node.interval = std::max<core::Duration>(minHeartbeatInterval, std::chrono::milliseconds(record.interval_ms()));
+    node.interval = std::chrono::milliseconds(record.interval_ms());
+    node.interval = std::max<core::Duration>(minHeartbeatInterval, node.interval);
+    node.writtenAtMs = record.written_at_ms();
     node.entry
         = { record.name(), record.zone(), record.region(), record.address(), record.peer_address(), record.ready() };
 }
--- a/source/gateway/NodeRegistry.h
+++ b/source/gateway/NodeRegistry.h
@@ -31,10 +31,11 @@
 /// \brief Nodes of the deployment, which discover each other through heartbeat rows in the store.
 ///
 /// Each zone has its own part of the table: per interval, a node writes one row and reads one part, independent of the
-/// number of zones. The parts of other zones are read less often, for callers whose zone has no node. The interval
-/// grows with the number of nodes so that the rate of heartbeats stays a fixed share of the store's rate; each row
-/// contains the interval of its node. A node whose heartbeat has not changed for 2.6 of its intervals is considered
-/// dead. While the store cannot be read, the last known state is kept.
+/// number of zones. The parts of other zones are read less often, and when a caller of such a zone asks for addresses.
+/// The interval grows with the number of nodes so that the rate of heartbeats stays a fixed share of the store's rate;
+/// each row contains the interval of its node. A node whose heartbeat has not changed for 2.6 of its intervals is
+/// considered dead; in other zones, so is one whose row is that old by the store's clock. While the store cannot be
+/// read, the last known state is kept.
 class NodeRegistry {
 public:
     static constexpr auto table = "nodes";
@@ -55,6 +56,9 @@
     /// ready.
     [[nodiscard]] std::vector<std::string> addressesFor(
         const std::string& zone, const std::string& region, std::size_t maxCount);
+    /// \brief Reads the zone again unless its state is recent, then calls `done`. Calls it at once for this node's
+    /// zone, for an unknown zone and while the store does not respond.
+    void refreshZone(const std::string& zone, core::TimePoint now, std::function<void()> done);
     /// \brief Live, ready nodes of this node's zone. Includes this node if it is ready or the only one.
     [[nodiscard]] std::vector<ZonePeer> zonePeers() const;
     /// \brief Peer addresses of live, ready nodes in other zones; nodes of this node's region first.
@@ -70,6 +74,8 @@
         std::uint64_t version = 0;
         core::Duration interval {};
         core::TimePoint changedAt {};
+        /// \brief Time of the heartbeat by the store's clock; 0 if the node does not state it.
+        std::uint64_t writtenAtMs = 0;
         bool alive = true;
     };
 
@@ -78,6 +84,9 @@
     void readZone(const std::string& zone);
     void zoneRead(const std::string& zone, const StoreResult<RowPage>& page);
     void updateNode(const Row& row, core::TimePoint now);
+    /// \brief Whether the heartbeat of a node in another zone is too old by the store's clock. False after an outage,
+    /// in which no node could write.
+    [[nodiscard]] bool isOutdated(const KnownNode& node, core::TimePoint now) const;
     /// \brief Removes the row of a node without heartbeats for `deadNodeRetention`.
     void removeDeadNode(const std::string& name, const KnownNode& node);
 
@@ -87,8 +96,12 @@
     std::vector<std::string> zones;
     asio::steady_timer timer;
     std::map<std::string, KnownNode> knownNodes;
+    /// \brief Versions of rows that cannot be used, so that each is logged once.
+    std::map<std::string, std::uint64_t> rejectedVersions;
     /// \brief Time at which the part of each zone was last read.
     std::map<std::string, core::TimePoint> readAt;
+    /// \brief Callbacks that wait for a read of the zone.
+    std::map<std::string, std::vector<std::function<void()>>> refreshWaiters;
     std::uint64_t heartbeat = 0;
     std::uint64_t ownVersion = 0;
     std::size_t nextZone = 0;
--- a/source/gateway/StoreHealth.h
+++ b/source/gateway/StoreHealth.h
@@ -46,6 +46,8 @@
     [[nodiscard]] core::Duration callTimeout() const noexcept;
     /// \brief Estimated current time of the store's clock in milliseconds.
     [[nodiscard]] std::uint64_t storeTimeMs(core::TimePoint now) const noexcept;
+    /// \brief Whether an answer of the store has stated its time.
+    [[nodiscard]] bool knowsStoreTime() const noexcept { return this->storeMs != 0; }
     [[nodiscard]] core::TimePoint lastSuccess() const noexcept { return this->lastSuccessAt; }
     /// \brief Time of the first success after the last outage; calls that started earlier may never be answered.
     [[nodiscard]] core::TimePoint recoveredAt() const noexcept { return this->lastRecoveryAt; }
--- a/source/gateway/Types.h
+++ b/source/gateway/Types.h
@@ -148,6 +148,8 @@
     /// \brief The response has the signature header that proves its origin; a success without it does not count.
     bool hasOriginProof = false;
     bool eventStream = false;
+    /// \brief The endpoint is shutting down and takes no new calls.
+    bool leaving = false;
     /// \brief The body has a content coding that the caller did not request.
     bool hasContentCoding = false;
     transport::Fields fields;
--- a/source/transport/ClientPool.cpp
+++ b/source/transport/ClientPool.cpp
@@ -19,6 +19,7 @@
 /// connection.
 constexpr auto keepAliveMargin = std::chrono::milliseconds(700);
 constexpr std::size_t readBufferBytes = 16'384;
+constexpr std::size_t maxResponseHeadBytes = 65'536;
 
 /// \brief Idle time-out that the peer announced as `timeout=N` (seconds) in the Keep-Alive field; the default without
 /// it.
@@ -40,7 +41,7 @@
     Connection(asio::io_context& context, std::string address)
         : address(std::move(address))
         , socket(context)
-        , parser(Parser::Kind::Response, ParserLimits { 65'536, 64U << 20U })
+        , parser(Parser::Kind::Response, ParserLimits {})
     {
     }
 
@@ -103,6 +104,7 @@
     connection->skippingResponse = false;
     connection->parser.reset();
     connection->parser.setHeadRequest(options.headRequest);
+    connection->parser.setLimits({ maxResponseHeadBytes, options.maxBodyBytes });
     connection->options = std::move(options);
     this->exchanges.emplace(id, connection);
     if (reused)
@@ -228,29 +230,36 @@
     while (!bytes.empty() && !connection->closed && connection->exchange != 0) {
         bytes.remove_prefix(connection->parser.feed(bytes));
         const bool complete = connection->parser.state() == ParserState::Complete;
-        const bool belongs = connection->headDelivered || this->belongsToExchange(*connection);
+        const bool skipped = !connection->headDelivered && attributeResponse(*connection) == Attribution::OtherRequest;
         // A connection with surplus bytes after the complete response is not reused.
-        if (!bytes.empty() && complete && belongs)
+        if (!bytes.empty() && complete && !skipped)
             connection->keepAliveTimeout = core::Duration::zero();
         this->deliverResponse(connection);
-        if (!complete || belongs)
+        if (!complete || !skipped)
             return;
     }
 }
 
-bool ClientPool::belongsToExchange(const Connection& connection)
+ClientPool::Attribution ClientPool::attributeResponse(const Connection& connection)
 {
     if (connection.options.echoFieldName.empty())
-        return true;
+        return Attribution::ThisRequest;
     const auto echoed = connection.parser.fields().find(connection.options.echoFieldName);
-    return !echoed || *echoed == connection.options.echoFieldValue;
+    if (!echoed)
+        return Attribution::Unknown;
+    return *echoed == connection.options.echoFieldValue ? Attribution::ThisRequest : Attribution::OtherRequest;
 }
 
 void ClientPool::deliverResponse(const ConnectionPointer& connection)
 {
     auto& parser = connection->parser;
     if (parser.headComplete() && !connection->headDelivered && !connection->skippingResponse) {
-        connection->skippingResponse = !belongsToExchange(*connection);
+        const auto attribution = attributeResponse(*connection);
+        if (attribution == Attribution::Unknown) {
+            this->fail(connection, ExchangeEnd::Malformed);
+            return;
+        }
+        connection->skippingResponse = attribution == Attribution::OtherRequest;
         if (!connection->skippingResponse) {
             connection->headDelivered = true;
             connection->events.head(
--- a/source/transport/ClientPool.h
+++ b/source/transport/ClientPool.h
@@ -49,8 +49,11 @@
     core::Duration responseTimeout {};
     /// \brief The request is a HEAD request, so its response has no body.
     bool headRequest = false;
+    /// \brief A response with a larger body is rejected as malformed.
+    std::size_t maxBodyBytes = 16U << 20U;
     /// \brief Expected value of the response field `echoFieldName`. A response with another value belongs to another
-    /// request and is skipped; a response without the field is accepted.
+    /// request and is skipped. A response without the field cannot be attributed to a request and is rejected as
+    /// malformed.
     std::string echoFieldValue;
     /// \brief Response field that repeats an identifier of the request; empty for no check.
     std::string echoFieldName;
@@ -86,8 +89,13 @@
     void write(const ConnectionPointer& connection);
     void read(const ConnectionPointer& connection);
     void processResponseBytes(const ConnectionPointer& connection, std::string_view bytes);
-    /// \brief Whether the received response head answers the request of the exchange.
-    [[nodiscard]] static bool belongsToExchange(const Connection& connection);
+    /// \brief Request that a received response head answers.
+    enum class Attribution : int {
+        ThisRequest,
+        OtherRequest,
+        Unknown,
+    };
+    [[nodiscard]] static Attribution attributeResponse(const Connection& connection);
     void deliverResponse(const ConnectionPointer& connection);
     void completeExchange(const ConnectionPointer& connection);
     void fail(const ConnectionPointer& connection, ExchangeEnd end);
--- a/source/transport/Parser.cpp
+++ b/source/transport/Parser.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// \brief Maximum bytes of chunk headers and trailers per body byte; a chunk of one byte has six.
+constexpr std::size_t maxFramingBytesPerBodyByte = 16;
+
 bool hasControlCharacter(std::string_view value) noexcept
 {
     return std::any_of(value.begin(), value.end(), [](char character) {
@@ -24,6 +27,12 @@
     });
 }
 
+/// \brief Whether responses with this status never have a body (RFC 9112, section 6.3).
+bool hasNoBody(unsigned int status) noexcept
+{
+    return status < 200 || status == 204 || status == 304;
+}
+
 } // namespace
 
 struct ParserCallbacks {
@@ -62,7 +71,8 @@
         if (!reader.completeHead())
             return -1;
         parser->upgrade = 0;
-        return reader.headRequest ? 1 : 0;
+        const bool skipBody = reader.kind == Parser::Kind::Response && hasNoBody(parser->status_code);
+        return reader.headRequest || skipBody ? 1 : 0;
     }
 
     static int onBody(http_parser* parser, const char* data, std::size_t size)
@@ -84,6 +94,7 @@
         if (reader.kind == Parser::Kind::Response && parser->status_code < 200) {
             reader.headParsed = false;
             reader.headFields = Fields();
+            reader.bodyFraming = Framing::None;
             return 0;
         }
         reader.currentState = ParserState::Complete;
@@ -123,6 +134,7 @@
     this->keepAliveAllowed = true;
     this->bodyFraming = Framing::None;
     this->headBytes = 0;
+    this->consumedBytes = 0;
     this->bodyBytes = 0;
     this->methodName.clear();
     this->targetText.clear();
@@ -140,11 +152,16 @@
     this->hasStarted = true;
     const bool hadHead = this->headParsed;
     const auto used = http_parser_execute(&this->parser, &settings, bytes.data(), bytes.size());
+    this->consumedBytes += used;
     if (!hadHead && !this->headParsed) {
         this->headBytes += used;
         if (this->headBytes > this->limits.maxHeaderBytes)
             this->currentState = ParserState::HeaderTooLarge;
     }
+    // Chunk extensions and trailers have no limit of their own.
+    const auto maxFramingBytes = 2 * this->limits.maxHeaderBytes + maxFramingBytesPerBodyByte * this->bodyBytes;
+    if (this->currentState == ParserState::Incomplete && this->consumedBytes - this->bodyBytes > maxFramingBytes)
+        this->currentState = ParserState::Malformed;
     const auto error = HTTP_PARSER_ERRNO(&this->parser);
     if (this->currentState == ParserState::Incomplete && error != HPE_OK && error != HPE_PAUSED)
         this->currentState = error == HPE_HEADER_OVERFLOW ? ParserState::HeaderTooLarge : ParserState::Malformed;
@@ -197,11 +214,13 @@
     const bool hasLength = this->headFields.find("Content-Length").has_value();
     if (this->headFields.find("Transfer-Encoding") && (hasLength || !chunked))
         return false;
-    if (chunked)
+    if (this->kind == Kind::Response && hasNoBody(this->parser.status_code))
+        this->bodyFraming = Framing::None;
+    else if (chunked)
         this->bodyFraming = Framing::Chunked;
     else if (hasLength)
         this->bodyFraming = Framing::Length;
-    else if (this->kind == Kind::Response && this->parser.status_code != 204 && this->parser.status_code != 304)
+    else if (this->kind == Kind::Response)
         this->bodyFraming = Framing::UntilClose;
     return true;
 }
--- a/source/transport/Parser.h
+++ b/source/transport/Parser.h
@@ -25,7 +25,8 @@
 /// \brief Incremental parser of HTTP/1.1 messages, based on http_parser.
 ///
 /// Rejects ambiguous messages: several Content-Length fields, Transfer-Encoding together with Content-Length or without
-/// chunked, control characters in field values, and field names that are not tokens.
+/// chunked, control characters in field values, and field names that are not tokens. Responses that never have a body
+/// (1xx, 204, 304) end with their head, whatever their fields announce.
 class Parser {
 public:
     enum class Kind : int {
@@ -80,6 +81,8 @@
     bool keepAliveAllowed = true;
     Framing bodyFraming = Framing::None;
     std::size_t headBytes = 0;
+    /// \brief All bytes consumed for the message.
+    std::size_t consumedBytes = 0;
     std::size_t bodyBytes = 0;
     std::string methodName;
     std::string targetText;
--- a/source/transport/Server.cpp
+++ b/source/transport/Server.cpp
@@ -96,7 +96,17 @@
 
 void Server::stopAccepting()
 {
+    if (!this->acceptor.is_open())
+        return;
+    // Closing the listening socket resets connections that are established but not yet accepted.
     asio::error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(this->context);
+        this->acceptor.accept(socket, error);
+        if (!error)
+            this->addConnection(std::move(socket));
+    }
     this->acceptor.close(error);
     if (error)
         core::logWarning("acceptor_close_failed").with("message", error.message());
@@ -114,26 +124,33 @@
 void Server::accept()
 {
     this->acceptor.async_accept([this](asio::error_code error, asio::ip::tcp::socket socket) {
+        if (!error)
+            this->addConnection(std::move(socket));
         if (!this->acceptor.is_open())
             return;
-        if (error) {
+        if (error)
             core::logWarning("accept_failed").with("message", error.message());
-        } else if (this->connectionsById.size() >= this->limits.maxConnections) {
-            core::logWarning("connection_limit_reached").with("limit", this->limits.maxConnections);
-        } else {
-            configureSocket(socket);
-            const auto id = ++this->lastId;
-            auto connection = std::make_shared<Connection>(id, std::move(socket), this->limits.message);
-            connection->phaseStart = core::monotonicNow();
-            if (const auto peer = connection->socket.remote_endpoint(error); !error)
-                connection->clientAddress = peer.address().to_string();
-            this->connectionsById.emplace(id, connection);
-            this->read(connection);
-        }
         this->accept();
     });
 }
 
+void Server::addConnection(asio::ip::tcp::socket&& socket)
+{
+    if (this->connectionsById.size() >= this->limits.maxConnections) {
+        core::logWarning("connection_limit_reached").with("limit", this->limits.maxConnections);
+        return;
+    }
+    configureSocket(socket);
+    const auto id = ++this->lastId;
+    auto connection = std::make_shared<Connection>(id, std::move(socket), this->limits.message);
+    connection->phaseStart = core::monotonicNow();
+    asio::error_code error;
+    if (const auto peer = connection->socket.remote_endpoint(error); !error)
+        connection->clientAddress = peer.address().to_string();
+    this->connectionsById.emplace(id, connection);
+    this->read(connection);
+}
+
 void Server::read(const ConnectionPointer& connection)
 {
     if (connection->closed || connection->reading || connection->unparsedInput.size() >= maxUnparsedBytes)
--- a/source/transport/Server.h
+++ b/source/transport/Server.h
@@ -51,7 +51,8 @@
     void setLimits(const ServerLimits& limits);
     /// \brief Sends `Connection: close` with every further response and closes the connection after it.
     void startDraining();
-    /// \brief Closes the listening socket; open connections stay open.
+    /// \brief Takes over the connections that clients have already established and closes the listening socket; open
+    /// connections stay open.
     void stopAccepting();
     /// \brief Closes connections that have no complete or partial request and no output being written.
     void closeIdle();
@@ -79,6 +80,7 @@
     using ConnectionPointer = std::shared_ptr<Connection>;
 
     void accept();
+    void addConnection(asio::ip::tcp::socket&& socket);
     void read(const ConnectionPointer& connection);
     void handleReceived(const ConnectionPointer& connection, std::size_t size);
     void parse(const ConnectionPointer& connection);
--- a/tests/PlatformRecordTests.cpp
+++ b/tests/PlatformRecordTests.cpp
@@ -19,6 +19,12 @@
     return text.replace(text.find(from), from.size(), to);
 }
 
+/// \brief `depth` lists inside each other.
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
 struct EntryCase {
     std::string name;
     std::string bytes;
@@ -57,7 +63,20 @@
         EntryCase { "SlotsText", replaced(goodEntry, "\"slots\":6", "\"slots\":\"6\"") },
         EntryCase { "NoSlots", replaced(goodEntry, "\"slots\":6", "\"slots\":0") },
         EntryCase { "FractionalBirth", replaced(goodEntry, "\"born\":17", "\"born\":1.5") },
-        EntryCase { "NegativeSequence", replaced(goodEntry, "\"seq\":4", "\"seq\":-4") }),
+        EntryCase { "NegativeSequence", replaced(goodEntry, "\"seq\":4", "\"seq\":-4") },
+        EntryCase { "DeeplyNested", std::string(100'000, '[') },
+        EntryCase { "DeeplyNestedField", replaced(goodEntry, "\"seq\":4", "\"seq\":" + nested(5'000)) },
+        EntryCase { "NumberOf400Digits", replaced(goodEntry, "\"seq\":4", "\"seq\":" + std::string(400, '9')) },
+        EntryCase { "NumberBeyondDouble", replaced(goodEntry, "\"coldLeftMs\":0", "\"coldLeftMs\":1e999") },
+        EntryCase { "BirthBeyond64Bits", replaced(goodEntry, "\"born\":17", "\"born\":18446744073709551615") },
+        EntryCase { "TooManySlots", replaced(goodEntry, "\"slots\":6", "\"slots\":4000000000") },
+        EntryCase { "SlotsBeyond32Bits", replaced(goodEntry, "\"slots\":6", "\"slots\":4294967302") },
+        EntryCase { "PortZero", replaced(goodEntry, "10.0.0.1:80", "10.0.0.1:0") },
+        EntryCase { "PortOutOfRange", replaced(goodEntry, "10.0.0.1:80", "10.0.0.1:70000") },
+        EntryCase { "PortOfManyDigits", replaced(goodEntry, "10.0.0.1:80", "10.0.0.1:" + std::string(40, '9')) },
+        EntryCase { "LongService", replaced(goodEntry, "\"service\":\"s", "\"service\":\"" + std::string(300, 's')) },
+        EntryCase { "LargeEntry", replaced(goodEntry, "\"v1\"", "\"" + std::string(1U << 20U, 'v') + "\"") },
+        EntryCase { "InvalidUtf8", replaced(goodEntry, "\"v1\"", "\"\xff\xfe\"") }),
     [](const auto& info) { return info.param.name; });
 
 TEST(PlatformRecord, ReadsAConfiguration)
--- a/tests/RosterTests.cpp
+++ b/tests/RosterTests.cpp
@@ -1,6 +1,7 @@
 // Node addresses returned to callers while nodes fail, drain or lose their connection to the store.
 
 #include "gateway/NodeRegistry.h"
+#include "proto/gateway.pb.h"
 #include "support/FakeRowStore.h"
 
 #include <gtest/gtest.h>
@@ -87,6 +88,66 @@
     EXPECT_EQ(first.addressesFor("z3", "r2", 64), std::vector<std::string> { "a:1" });
 }
 
+// Guards against callers of another zone that are sent to nodes which have stopped or died since that zone was last
+// read.
+TEST(NodeRegistry, ReadsAnotherZoneBeforeItNamesItsNodes)
+{
+    NodeRegistryFixture fixture;
+    auto& first = fixture.add("a", "z1", "r1");
+    auto& stopping = fixture.add("b", "z2", "r2");
+    fixture.add("c", "z2", "r2");
+    const auto named = [&] {
+        std::vector<std::string> addresses;
+        bool read = false;
+        first.refreshZone("z2", core::monotonicNow(), [&] { read = true; });
+        EXPECT_TRUE(fixture.waitUntil([&read] { return read; }));
+        return first.addressesFor("z2", "r2", 64);
+    };
+    const auto pass = [&fixture](std::chrono::milliseconds time) {
+        (void)fixture.waitUntil([] { return false; }, time);
+        fixture.store.now += static_cast<std::uint64_t>(time.count());
+    };
+    for (int beat = 0; beat < 3; ++beat)
+        pass(std::chrono::milliseconds(600));
+    EXPECT_EQ(named(), (std::vector<std::string> { "b:1", "c:1" }));
+    stopping.setReady(false);
+    pass(std::chrono::milliseconds(600));
+    EXPECT_EQ(named(), std::vector<std::string> { "c:1" });
+    // Dies without notice.
+    fixture.registries.pop_back();
+    for (int beat = 0; beat < 5; ++beat)
+        pass(std::chrono::milliseconds(600));
+    EXPECT_EQ(named(), std::vector<std::string> { "a:1" });
+}
+
+// Guards against a row of another writer that hides the other nodes, or makes a node live for ever.
+TEST(NodeRegistry, IgnoresRowsThatNoNodeWrites)
+{
+    NodeRegistryFixture fixture;
+    auto& first = fixture.add("a", "z1", "r1");
+    fixture.add("b", "z1", "r1");
+    const auto record = [](const std::string& name, const std::string& zone, std::uint64_t intervalMs) {
+        gateway::wire::NodeRecord result;
+        result.set_name(name);
+        result.set_zone(zone);
+        result.set_address(name + ":1");
+        result.set_ready(true);
+        result.set_interval_ms(intervalMs);
+        return result.SerializeAsString();
+    };
+    const auto put = [&fixture](const std::string& key, const std::string& value) {
+        fixture.store.put({ "nodes", "z1", key }, value);
+    };
+    put("garbage", std::string(1'000, '\xff'));
+    put("empty", "");
+    put("another", record("b", "z1", 1'000));
+    put("elsewhere", record("elsewhere", "z2", 1'000));
+    put("eternal", record("eternal", "z1", std::numeric_limits<std::uint64_t>::max()));
+    put("good", record("good", "z1", 1'000));
+    ASSERT_TRUE(fixture.waitUntil([&first] { return first.addressesFor("z1", "r1", 64).size() >= 3; }));
+    EXPECT_EQ(first.addressesFor("z1", "r1", 64), (std::vector<std::string> { "a:1", "b:1", "good:1" }));
+}
+
 // Guards against nodes that get no callers because the zone has more nodes than a response may list.
 TEST(NodeRegistry, ReturnsVaryingNodesOfALargeZone)
 {
--- a/tests/TransportParserTests.cpp
+++ b/tests/TransportParserTests.cpp
@@ -92,4 +92,80 @@
     EXPECT_EQ(parser.takeBody(), "x");
 }
 
+namespace {
+
+/// \brief Response bytes, and what the parser must make of them.
+struct ResponseCase {
+    std::string name;
+    std::string bytes;
+    ParserState state = ParserState::Complete;
+    int status = 200;
+    std::string body;
+    /// \brief Bytes behind the message, which belong to no request.
+    std::size_t surplus = 0;
+};
+
+void PrintTo(const ResponseCase& response, std::ostream* stream)
+{
+    *stream << response.name;
+}
+
+class ResponseFraming : public testing::TestWithParam<ResponseCase> { };
+
+const std::string finalResponse = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+
+std::string repeated(const std::string& text, int count)
+{
+    std::string result;
+    for (int index = 0; index < count; ++index)
+        result += text;
+    return result;
+}
+
+} // namespace
+
+// Guards against a body that is read behind a response that has none, and against input without end that is not
+// counted.
+TEST_P(ResponseFraming, EndsWhereItsStatusAndFieldsSay)
+{
+    const auto& response = GetParam();
+    Parser parser(Parser::Kind::Response, limits);
+    std::string_view bytes = response.bytes;
+    while (!bytes.empty() && parser.state() == ParserState::Incomplete) {
+        const auto used = parser.feed(bytes.substr(0, 7));
+        bytes.remove_prefix(used);
+    }
+    EXPECT_EQ(parser.state(), response.state);
+    if (response.state != ParserState::Complete)
+        return;
+    EXPECT_EQ(parser.status(), response.status);
+    EXPECT_EQ(parser.takeBody(), response.body);
+    EXPECT_EQ(bytes.size(), response.surplus);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, ResponseFraming,
+    testing::Values(ResponseCase { "Plain", finalResponse, ParserState::Complete, 200, "x", 0 },
+        ResponseCase {
+            "BodyBehind204", "HTTP/1.1 204 N\r\nContent-Length: 3\r\n\r\nabc", ParserState::Complete, 204, "", 3 },
+        ResponseCase { "ChunksBehind204", "HTTP/1.1 204 N\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+            ParserState::Complete, 204, "", 8 },
+        ResponseCase { "LengthOfAnUnmodifiedResource", "HTTP/1.1 304 N\r\nContent-Length: 9\r\n\r\n",
+            ParserState::Complete, 304, "", 0 },
+        ResponseCase { "InterimWithLength", "HTTP/1.1 100 C\r\nContent-Length: 3\r\n\r\n" + finalResponse,
+            ParserState::Complete, 200, "x", 0 },
+        ResponseCase { "InterimWithoutEnd", repeated("HTTP/1.1 100 C\r\n\r\n", 40), ParserState::HeaderTooLarge },
+        ResponseCase {
+            "HeadWithoutEnd", "HTTP/1.1 200 OK\r\n" + repeated("X: y\r\n", 100), ParserState::HeaderTooLarge },
+        ResponseCase { "ChunkSizeWithoutEnd",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(800, '1'), ParserState::Malformed },
+        ResponseCase { "ChunkExtensionWithoutEnd",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;" + std::string(800, 'e'), ParserState::Malformed },
+        ResponseCase { "TrailerWithoutEnd",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + repeated("X: y\r\n", 200),
+            ParserState::Malformed },
+        ResponseCase { "ManySmallChunks",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + repeated("1\r\na\r\n", 60) + "0\r\n\r\n",
+            ParserState::Complete, 200, std::string(60, 'a'), 0 }),
+    [](const auto& info) { return info.param.name; });
+
 } // namespace lagoontiller::transport
--- a/tests/support/ScriptedEndpoint.h
+++ b/tests/support/ScriptedEndpoint.h
@@ -23,7 +23,12 @@
             Silent,
             /// \brief The process is gone: the connection is reset and new ones are refused.
             Crash,
+            /// \brief `repeated` is sent again and again until the connection is closed.
+            Repeat,
         } then = Then::Keep;
+        std::string repeated {};
+        /// \brief Pause before each repetition.
+        std::chrono::milliseconds pause {};
     };
 
     ScriptedEndpoint(asio::io_context& context, std::vector<Answer> answers)
@@ -46,6 +51,8 @@
     int closed = 0;
     /// \brief Those of them that it reset.
     int resets = 0;
+    /// \brief Repetitions sent by `Then::Repeat`.
+    std::size_t repetitions = 0;
 
 private:
     struct Connection {
@@ -56,6 +63,7 @@
         asio::ip::tcp::socket socket;
         std::string text;
         std::array<char, 4'096> buffer {};
+        asio::steady_timer timer { this->socket.get_executor() };
     };
     using Found = std::shared_ptr<Connection>;
 
@@ -108,7 +116,7 @@
         const auto then = this->answers[index].then;
         auto bytes = std::make_shared<std::string>(this->answers[index].bytes);
         asio::async_write(connection->socket, asio::buffer(*bytes),
-            [this, connection, bytes, then](asio::error_code error, std::size_t) {
+            [this, connection, bytes, then, index](asio::error_code error, std::size_t) {
                 if (error)
                     return;
                 if (then == Answer::Then::Crash)
@@ -117,9 +125,27 @@
                     connection->socket.set_option(asio::socket_base::linger(true, 0));
                 if (then == Answer::Then::Close || then == Answer::Then::Reset || then == Answer::Then::Crash)
                     connection->socket.close();
+                else if (then == Answer::Then::Repeat)
+                    this->repeat(connection, index);
                 else
                     this->read(connection);
             });
+        if (then == Answer::Then::Repeat)
+            this->read(connection);
+    }
+
+    void repeat(const Found& connection, std::size_t index)
+    {
+        connection->timer.expires_after(this->answers[index].pause);
+        connection->timer.async_wait([this, connection, index](asio::error_code) {
+            asio::async_write(connection->socket, asio::buffer(this->answers[index].repeated),
+                [this, connection, index](asio::error_code error, std::size_t) {
+                    if (error)
+                        return;
+                    ++this->repetitions;
+                    this->repeat(connection, index);
+                });
+        });
     }
 
     asio::io_context& context;
