Choose the peers that relay store calls by what earlier calls found

Change: RelaySelector keeps what it found about each peer for 2 s: peers with store access first and in turn, peers without it left out, up to five per call; probes look for three such peers. Reads without an answer go to the next peer.

--- a/source/gateway/RelayedStore.cpp
+++ b/source/gateway/RelayedStore.cpp
@@ -7,13 +7,7 @@
 
 namespace lagoontiller::gateway {
 
-namespace {
-
-/// \brief Maximum number of peers that are tried per call. In a partial outage the store rejects a third to a half of
-/// the nodes, so all three fail for at most one call in eight.
-constexpr std::size_t maxPeersPerCall = 3;
-
-} // namespace
+using Purpose = RelaySelector::Purpose;
 
 RelayedStore::RelayedStore(
     RowStore& directStore, StoreHealth& storeHealth, PeerClient& client, const NodeRegistry& nodeRegistry)
@@ -32,9 +26,10 @@
     *request->mutable_transaction() = impl::encodeTransaction(transaction);
     const auto onAnswer = [done](const wire::RelayedAnswer& answer) { done(impl::decodeTransactionResult(answer)); };
     if (this->storeHealth.failing()) {
-        this->relay(request, onAnswer, [this, transaction = std::move(transaction), timeout, done]() mutable {
-            this->directStore.transact(std::move(transaction), timeout, std::move(done));
-        });
+        this->relay(
+            request, Purpose::Call, onAnswer, [this, transaction = std::move(transaction), timeout, done]() mutable {
+                this->directStore.transact(std::move(transaction), timeout, std::move(done));
+            });
         return;
     }
     this->directStore.transact(
@@ -42,7 +37,7 @@
             if (result || result.error() != StoreFailure::NotDone)
                 done(std::move(result));
             else
-                this->relay(request, onAnswer, [done] { done(tl::unexpected(StoreFailure::NotDone)); });
+                this->relay(request, Purpose::Call, onAnswer, [done] { done(tl::unexpected(StoreFailure::NotDone)); });
         });
 }
 
@@ -52,7 +47,7 @@
     *request->mutable_read() = impl::encodeRange(range);
     const auto onAnswer = [done](const wire::RelayedAnswer& answer) { done(impl::decodePage(answer)); };
     if (this->storeHealth.failing()) {
-        this->relay(request, onAnswer, [this, range = std::move(range), timeout, done]() mutable {
+        this->relay(request, Purpose::Call, onAnswer, [this, range = std::move(range), timeout, done]() mutable {
             this->directStore.read(std::move(range), timeout, std::move(done));
         });
         return;
@@ -62,7 +57,7 @@
         if (result || result.error() == StoreFailure::Overloaded)
             done(std::move(result));
         else
-            this->relay(request, onAnswer, [done] { done(tl::unexpected(StoreFailure::NotDone)); });
+            this->relay(request, Purpose::Call, onAnswer, [done] { done(tl::unexpected(StoreFailure::NotDone)); });
     });
 }
 
@@ -79,11 +74,11 @@
     auto probe = std::make_shared<wire::PeerRequest>();
     *probe->mutable_read() = impl::encodeRange({ NodeRegistry::table, {}, {}, {}, 1 });
     this->relay(
-        probe, [](const wire::RelayedAnswer&) {}, [] {});
+        probe, Purpose::Probe, [](const wire::RelayedAnswer&) {}, [] {});
 }
 
-void RelayedStore::relay(
-    const std::shared_ptr<wire::PeerRequest>& request, AnswerHandler onAnswer, UnreachableHandler onUnreachable)
+void RelayedStore::relay(const std::shared_ptr<wire::PeerRequest>& request, Purpose purpose, AnswerHandler onAnswer,
+    UnreachableHandler onUnreachable)
 {
     const auto now = core::monotonicNow();
     if (!this->storeHealth.shouldTryRelay(now)) {
@@ -91,7 +86,7 @@
         return;
     }
     this->tryNextPeer(std::make_shared<Relay>(
-        Relay { request, this->choosePeers(now), std::move(onAnswer), std::move(onUnreachable) }));
+        Relay { request, this->choosePeers(purpose, now), std::move(onAnswer), std::move(onUnreachable) }));
 }
 
 void RelayedStore::tryNextPeer(const std::shared_ptr<Relay>& relay)
@@ -103,45 +98,42 @@
     }
     const auto peer = relay->peers.back();
     relay->peers.pop_back();
-    this->client.send(peer, *relay->request, [this, relay](const wire::PeerResponse* response) {
-        if (response == nullptr) {
+    this->client.send(peer, *relay->request, [this, relay, peer](const wire::PeerResponse* response) {
+        const auto now = core::monotonicNow();
+        const bool unanswered = response == nullptr;
+        if (unanswered && relay->request->has_transaction()) {
             // The peer may have executed the call.
+            this->selector.notReached(peer, now);
             wire::RelayedAnswer unknown;
             unknown.set_outcome(wire::RelayedAnswer::UNKNOWN);
             relay->onAnswer(unknown);
             return;
         }
-        if (response->relayed().outcome() == wire::RelayedAnswer::NOT_DONE) {
+        if (unanswered || response->relayed().outcome() == wire::RelayedAnswer::NOT_DONE) {
+            this->selector.notReached(peer, now);
             this->tryNextPeer(relay);
             return;
         }
-        const auto now = core::monotonicNow();
+        this->selector.reached(peer, now);
         this->storeHealth.noteRelayResult(true, now);
         this->storeHealth.noteStoreTime(response->relayed().store_ms(), now);
         relay->onAnswer(response->relayed());
     });
 }
 
-std::vector<std::string> RelayedStore::choosePeers(core::TimePoint now)
+std::vector<std::string> RelayedStore::choosePeers(Purpose purpose, core::TimePoint now)
 {
-    std::vector<std::string> candidates;
+    std::vector<std::string> zonePeers;
     for (const auto& peer : this->nodeRegistry.zonePeers()) {
         if (!peer.self && !this->client.isSuspected(peer.address, now))
-            candidates.push_back(peer.address);
-    }
-    std::rotate(candidates.begin(),
-        candidates.begin() + static_cast<std::ptrdiff_t>(this->nextPeer % (candidates.size() + 1)), candidates.end());
-    ++this->nextPeer;
-    for (const auto& address : this->nodeRegistry.otherZonePeers()) {
-        if (candidates.size() >= maxPeersPerCall)
-            break;
-        if (!this->client.isSuspected(address, now))
-            candidates.push_back(address);
+            zonePeers.push_back(peer.address);
     }
-    candidates.resize(std::min(candidates.size(), maxPeersPerCall));
+    auto otherPeers = this->nodeRegistry.otherZonePeers();
+    std::erase_if(otherPeers, [&](const auto& address) { return this->client.isSuspected(address, now); });
+    auto chosen = this->selector.choose(zonePeers, otherPeers, purpose, now);
     // Peers are taken from the back.
-    std::reverse(candidates.begin(), candidates.end());
-    return candidates;
+    std::reverse(chosen.begin(), chosen.end());
+    return chosen;
 }
 
 } // namespace lagoontiller::gateway
--- a/source/gateway/RelayedStore.h
+++ b/source/gateway/RelayedStore.h
@@ -2,6 +2,7 @@
 
 #include "gateway/NodeRegistry.h"
 #include "gateway/PeerClient.h"
+#include "gateway/RelaySelector.h"
 
 namespace lagoontiller::gateway::wire {
 class RelayedAnswer;
@@ -9,14 +10,13 @@
 
 namespace lagoontiller::gateway {
 
-/// \brief Store access that is relayed through a peer while this node cannot reach the store: a peer of its zone, or of
-/// another zone if its zone has too few.
+/// \brief Store access that is relayed through a peer while this node cannot reach the store; RelaySelector chooses it.
 ///
 /// The store may reject some nodes while it serves others. A call that was not executed is relayed at once. A
 /// transaction without an answer may have been executed, so its failure is passed to the caller, which knows whether it
-/// may be repeated. If no peer can reach the store, it may only be slow, and the call is made directly. Watches are not
-/// relayed: without direct access, the heartbeats of this node stop as well, and the other nodes remove it from entry
-/// answers.
+/// may be repeated; a read without an answer goes to the next peer. If no peer can reach the store, it may only be
+/// slow, and the call is made directly. Watches are not relayed: without direct access, the heartbeats of this node
+/// stop as well, and the other nodes remove it from entry answers.
 class RelayedStore : public RowStore {
 public:
     RelayedStore(RowStore& directStore, StoreHealth& storeHealth, PeerClient& client, const NodeRegistry& nodeRegistry);
@@ -27,8 +27,7 @@
     void watch(const std::string& table, std::uint64_t after, core::Duration wait,
         std::function<void(StoreResult<RowPage>)> done) override;
 
-    /// \brief Probes whether a peer can reach the store after the previous peers could not; call several times a
-    /// second.
+    /// \brief Looks for peers that can reach the store while this node cannot; call several times a second.
     void tick(core::TimePoint now);
 
 private:
@@ -44,16 +43,16 @@
     };
 
     /// \brief Sends the call to peers until one of them can reach the store; calls `onUnreachable` if none can.
-    void relay(
-        const std::shared_ptr<wire::PeerRequest>& request, AnswerHandler onAnswer, UnreachableHandler onUnreachable);
+    void relay(const std::shared_ptr<wire::PeerRequest>& request, RelaySelector::Purpose purpose,
+        AnswerHandler onAnswer, UnreachableHandler onUnreachable);
     void tryNextPeer(const std::shared_ptr<Relay>& relay);
-    [[nodiscard]] std::vector<std::string> choosePeers(core::TimePoint now);
+    [[nodiscard]] std::vector<std::string> choosePeers(RelaySelector::Purpose purpose, core::TimePoint now);
 
     RowStore& directStore;
     StoreHealth& storeHealth;
     PeerClient& client;
     const NodeRegistry& nodeRegistry;
-    std::size_t nextPeer = 0;
+    RelaySelector selector { std::random_device()() };
 };
 
 } // namespace lagoontiller::gateway
