Log rate limits that endpoints state

Change: the field is decoded and logged when it changes; a gauge counts the endpoints that state a limit. No decision uses it yet.

--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -97,6 +97,8 @@
 
     // Responses (GatewayAnswers.cpp).
     void handleResponseHead(FlowId id, transport::ResponseHead&& head);
+    /// \brief Logs a rate limit that the endpoint states for the first time, or no longer.
+    void recordRateLimit(const FlowAttempt& attempt);
     void handleResponseBody(FlowId id, std::string&& bytes);
     void forwardEvents(Flow& flow, std::string_view bytes, core::TimePoint now);
     /// \brief Updates the memory that the call's response takes, and ends attempts that exceed a limit.
@@ -123,6 +125,8 @@
     std::unordered_map<std::string, std::shared_ptr<const Service>> services;
     /// \brief Per service, the last time at which a reused connection broke before a response.
     std::unordered_map<std::string, core::TimePoint> reusedConnectionBrokenAt;
+    /// \brief Rate limits that endpoints stated last.
+    std::unordered_map<std::string, double> rateLimits;
     /// \brief Per service with engines.
     std::unordered_map<std::string, NewProgramLimiter> newProgramLimiters;
     std::unordered_map<FlowId, Flow> flows;
--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -39,6 +39,21 @@
     attempt.response = platform::decodeResponse(std::move(head));
     if (attempt.response->leaving)
         this->dependencies.endpointDirectory.markLeaving(attempt.endpoint, attempt.endpointStartedAt, now);
+    this->recordRateLimit(attempt);
+}
+
+void Gateway::recordRateLimit(const FlowAttempt& attempt)
+{
+    const auto limit = attempt.response->rateLimit;
+    const auto known = this->rateLimits.find(attempt.endpoint);
+    if (limit == (known == this->rateLimits.end() ? std::nullopt : std::optional(known->second)))
+        return;
+    core::logInfo("endpoint_limit").with("endpoint", attempt.endpoint).with("per_second", limit.value_or(-1));
+    if (limit)
+        this->rateLimits[attempt.endpoint] = *limit;
+    else
+        this->rateLimits.erase(known);
+    this->dependencies.metrics.set("gateway_endpoints_limited", {}, static_cast<double>(this->rateLimits.size()));
 }
 
 void Gateway::handleResponseBody(FlowId id, std::string&& bytes)
--- a/source/gateway/Types.h
+++ b/source/gateway/Types.h
@@ -150,6 +150,8 @@
     bool eventStream = false;
     /// \brief The endpoint is shutting down and takes no new calls.
     bool leaving = false;
+    /// \brief Calls per second that the endpoint accepts from all nodes together, if it states a limit.
+    std::optional<double> rateLimit;
     /// \brief The body has a content coding that the caller did not request.
     bool hasContentCoding = false;
     transport::Fields fields;
