--- a/tests/support/ScriptedEndpoint.h
+++ b/tests/support/ScriptedEndpoint.h
@@ -13,6 +13,7 @@
 class ScriptedEndpoint {
 public:
     struct Answer {
+        /// \brief `{id}` stands for the id of the request.
         std::string bytes;
         /// \brief What follows the bytes.
         enum class Then : int {
@@ -115,6 +116,8 @@
         const auto index = std::min(this->requests.size(), this->answers.size()) - 1;
         const auto then = this->answers[index].then;
         auto bytes = std::make_shared<std::string>(this->answers[index].bytes);
+        if (const auto at = bytes->find("{id}"); at != std::string::npos)
+            bytes->replace(at, 4, requestId(this->requests.back()));
         asio::async_write(connection->socket, asio::buffer(*bytes),
             [this, connection, bytes, then, index](asio::error_code error, std::size_t) {
                 if (error)
@@ -134,6 +137,13 @@
             this->read(connection);
     }
 
+    static std::string requestId(const std::string& request)
+    {
+        const std::string name = "X-Request-Id: ";
+        const auto from = request.find(name) + name.size();
+        return request.substr(from, request.find("\r\n", from) - from);
+    }
+
     void repeat(const Found& connection, std::size_t index)
     {
         connection->timer.expires_after(this->answers[index].pause);
