Keep to the rate limits that endpoints state

Cause: placement did not read the limit, which holds for the sum of all nodes. Change: a few nodes of the endpoint's zone, chosen by rendezvous hashing, share a limit without a message before a call; what a node saw stands in its heartbeat row. Calls go to endpoints without a limit first; a call of a program under way waits up to half its objective, others are refused at once with a time to return that spaces them (docs/decisions/0205-shares-of-rate-limits.md). Why it holds: n nodes with equal shares send at most limit x t + n calls in t seconds, and n is bounded by the limit; a view that lags changes one share.

--- a/source/gateway/Flow.h
+++ b/source/gateway/Flow.h
@@ -36,6 +36,12 @@
     EventStreamParser eventParser;
 };
 
+/// \brief A call that waits until its endpoint's rate limit permits it.
+struct RateLimitWait {
+    std::string endpoint;
+    core::TimePoint until {};
+};
+
 /// \brief State of one call, from the arrival of its request to the end of its response.
 struct Flow {
     FlowId id = 0;
@@ -63,6 +69,7 @@
     /// \brief Attempts that the endpoint may have executed.
     int possibleRuns = 0;
     int attempts = 0;
+    std::optional<RateLimitWait> rateLimitWait;
     std::optional<FlowAttempt> attempt;
 
     // Response.
--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -4,10 +4,12 @@
 #include "core/ResultCode.h"
 #include "gateway/EndpointDirectory.h"
 #include "gateway/EndpointLossTracker.h"
+#include "gateway/EndpointRateLimits.h"
 #include "gateway/Flow.h"
 #include "gateway/NewProgramLimiter.h"
 #include "gateway/Placement.h"
 #include "gateway/ResponseMemory.h"
+#include "gateway/RetrySchedule.h"
 #include "gateway/RouteTable.h"
 
 namespace lagoontiller::gateway {
@@ -48,6 +50,9 @@
     /// retried; call every `tickInterval`.
     void tick(core::TimePoint now);
 
+    /// \brief Rate limits that endpoints state, to exchange them with other nodes.
+    [[nodiscard]] EndpointRateLimits& rateLimits() noexcept { return this->endpointRateLimits; }
+
     /// \brief Ends all calls in progress, as if their deadline had passed.
     void endAll();
 
@@ -77,12 +82,16 @@
     // Attempts (GatewayAttempts.cpp).
     void dispatch(FlowId id, core::TimePoint now);
     void sendAttempt(Flow& flow, const PlacementDecision& decision, core::TimePoint now);
+    /// \brief Delays the call until an endpoint accepts it, or refuses it at once if it would be late then.
+    void waitForRateLimit(Flow& flow, const RateLimitedEndpoints& limited, core::TimePoint now);
+    /// \brief Sends the call that has waited for its endpoint.
+    void sendAfterWait(Flow& flow, core::TimePoint now);
     void attemptEnded(FlowId id, transport::ExchangeEnd end);
     /// \brief Maximum idle time of a pooled connection that may be reused for the call.
     [[nodiscard]] core::Duration maxIdleTime(const Flow& flow, core::TimePoint now) const;
     void attemptRefused(Flow& flow, core::TimePoint now);
     void attemptFailed(Flow& flow, policy::FailureKind kind, std::string_view cause, core::TimePoint now);
-    void reportSuspectedLoss(const Flow& flow);
+    void reportSuspectedLoss(const Flow& flow, core::TimePoint now);
     void cancelAttempt(Flow& flow);
     /// \brief Tells the limiter of the service, once per attempt, whether the first event came within the objective of
     /// the route.
@@ -97,8 +106,7 @@
 
     // Responses (GatewayAnswers.cpp).
     void handleResponseHead(FlowId id, transport::ResponseHead&& head);
-    /// \brief Logs a rate limit that the endpoint states for the first time, or no longer.
-    void recordRateLimit(const FlowAttempt& attempt);
+    void recordRateLimit(const FlowAttempt& attempt, core::TimePoint now);
     void handleResponseBody(FlowId id, std::string&& bytes);
     void forwardEvents(Flow& flow, std::string_view bytes, core::TimePoint now);
     /// \brief Updates the memory that the call's response takes, and ends attempts that exceed a limit.
@@ -125,8 +133,9 @@
     std::unordered_map<std::string, std::shared_ptr<const Service>> services;
     /// \brief Per service, the last time at which a reused connection broke before a response.
     std::unordered_map<std::string, core::TimePoint> reusedConnectionBrokenAt;
-    /// \brief Rate limits that endpoints stated last.
-    std::unordered_map<std::string, double> rateLimits;
+    EndpointRateLimits endpointRateLimits;
+    /// \brief Per service whose endpoints have reached their rate limits.
+    std::unordered_map<std::string, RetrySchedule> retrySchedules;
     /// \brief Per service with engines.
     std::unordered_map<std::string, NewProgramLimiter> newProgramLimiters;
     std::unordered_map<FlowId, Flow> flows;
--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -228,7 +228,7 @@
 void Gateway::dispatchWhenPrepared(FlowId id)
 {
     const auto* const flow = this->find(id);
-    if (flow == nullptr || flow->waitsForBudget || flow->waitsForHistory || flow->attempts > 0)
+    if (flow == nullptr || flow->waitsForBudget || flow->waitsForHistory || flow->attempts > 0 || flow->rateLimitWait)
         return;
     this->dispatch(id, core::monotonicNow());
 }
--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -39,21 +39,17 @@
     attempt.response = platform::decodeResponse(std::move(head));
     if (attempt.response->leaving)
         this->dependencies.endpointDirectory.markLeaving(attempt.endpoint, attempt.endpointStartedAt, now);
-    this->recordRateLimit(attempt);
+    this->recordRateLimit(attempt, now);
 }
 
-void Gateway::recordRateLimit(const FlowAttempt& attempt)
+void Gateway::recordRateLimit(const FlowAttempt& attempt, core::TimePoint now)
 {
-    const auto limit = attempt.response->rateLimit;
-    const auto known = this->rateLimits.find(attempt.endpoint);
-    if (limit == (known == this->rateLimits.end() ? std::nullopt : std::optional(known->second)))
+    const auto* const endpoint = this->dependencies.endpointDirectory.find(attempt.endpoint);
+    if (endpoint == nullptr || endpoint->entry.startedAt != attempt.endpointStartedAt
+        || attempt.response->wrongEndpoint)
         return;
-    core::logInfo("endpoint_limit").with("endpoint", attempt.endpoint).with("per_second", limit.value_or(-1));
-    if (limit)
-        this->rateLimits[attempt.endpoint] = *limit;
-    else
-        this->rateLimits.erase(known);
-    this->dependencies.metrics.set("gateway_endpoints_limited", {}, static_cast<double>(this->rateLimits.size()));
+    this->endpointRateLimits.observe(endpoint->entry, attempt.response->rateLimit, attempt.sentAt,
+        this->dependencies.storeHealth.storeTimeMs(now), now);
 }
 
 void Gateway::handleResponseBody(FlowId id, std::string&& bytes)
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -31,6 +31,9 @@
 constexpr std::size_t maxStreamBytes = 64U << 20U;
 /// \brief A tick that is later than this shows that the process was paused.
 constexpr core::Duration maxTickDelay = std::chrono::milliseconds(500);
+/// \brief A call waits for the rate limit of an endpoint for this part of the objective of its route at most; the rest
+/// of the objective remains for its execution.
+constexpr int maxWaitTargetLatencyDivisor = 2;
 /// \brief Retry delay for callers when all endpoints are full.
 constexpr core::Duration retryAfterEndpointsFull = std::chrono::milliseconds(300);
 /// \brief Expected service times of a plain call and of a stream, for the load estimate of endpoints.
@@ -49,6 +52,14 @@
     return base;
 }
 
+/// \brief Whether the call is the first of its program.
+bool startsProgram(const Flow& flow)
+{
+    if (flow.route->kind != CallKind::Streaming || flow.call.program.empty())
+        return false;
+    return flow.route->keepsHistory ? flow.call.previousTurn.empty() : flow.reservation && flow.reservation->firstTurn;
+}
+
 PlacementRequest placementRequest(const Flow& flow)
 {
     PlacementRequest request;
@@ -99,8 +110,15 @@
         return;
     }
     const auto request = placementRequest(flow);
+    const auto& directory = this->dependencies.endpointDirectory;
     const auto decision
-        = chooseEndpoint(request, this->dependencies.endpointDirectory, this->location, now, this->random);
+        = chooseEndpoint(request, directory, this->endpointRateLimits, this->location, now, this->random);
+    if (!decision && flow.attempts < maxAttemptsPerCall) {
+        if (const auto limited = findRateLimitedEndpoints(request, directory, this->endpointRateLimits, now)) {
+            this->waitForRateLimit(flow, *limited, now);
+            return;
+        }
+    }
     if (!decision || flow.attempts >= maxAttemptsPerCall) {
         if (flow.possibleRuns > 0 || flow.responseStarted)
             this->respond(id, { 502, core::ResultCode::EndpointFailed, "no_endpoint_left", {} });
@@ -108,9 +126,52 @@
             this->respond(id, { 503, core::ResultCode::NoEndpoint, "no_endpoint", retryAfterEndpointsFull });
         return;
     }
+    this->endpointRateLimits.reserve(directory.find(decision->endpoint)->entry, now);
     this->sendAttempt(flow, *decision, now);
 }
 
+void Gateway::waitForRateLimit(Flow& flow, const RateLimitedEndpoints& limited, core::TimePoint now)
+{
+    const bool newProgram = startsProgram(flow);
+    const auto latest = std::min(now + flow.route->targetLatency / maxWaitTargetLatencyDivisor, flow.deadline);
+    if (limited.at && *limited.at < latest && !newProgram) {
+        const auto& endpoint = this->dependencies.endpointDirectory.find(limited.first)->entry;
+        flow.rateLimitWait = RateLimitWait { limited.first, this->endpointRateLimits.reserve(endpoint, now) };
+        core::logInfo("call_waits")
+            .with("id", flow.call.id)
+            .with("endpoint", limited.first)
+            .with("wait_ms", (flow.rateLimitWait->until - now).count() / 1'000);
+        this->dependencies.metrics.add(
+            "gateway_rate_limited_total", { { "service", flow.service->name }, { "action", "wait" } });
+        return;
+    }
+    if (flow.possibleRuns > 0 || flow.responseStarted) {
+        this->respond(flow.id, { 502, core::ResultCode::EndpointFailed, "no_endpoint_left", {} });
+        return;
+    }
+    const auto earliest = limited.at.value_or(now + retryAfterEndpointsFull);
+    const auto retryAfter
+        = this->retrySchedules[flow.service->name].assign(newProgram, earliest, limited.perSecond, now);
+    this->dependencies.metrics.add(
+        "gateway_rate_limited_total", { { "service", flow.service->name }, { "action", "refuse" } });
+    this->respond(flow.id, { 503, core::ResultCode::TooManyRequests, "endpoints_rate_limited", retryAfter });
+}
+
+void Gateway::sendAfterWait(Flow& flow, core::TimePoint now)
+{
+    const auto wait = *std::exchange(flow.rateLimitWait, std::nullopt);
+    const auto& serving = this->dependencies.endpointDirectory.servingEndpoints(flow.service->name);
+    if (!std::binary_search(serving.begin(), serving.end(), wait.endpoint)) {
+        this->dispatch(flow.id, now);
+        return;
+    }
+    PlacementDecision decision;
+    decision.endpoint = wait.endpoint;
+    decision.address = this->dependencies.endpointDirectory.find(wait.endpoint)->entry.address;
+    decision.candidates = 1;
+    this->sendAttempt(flow, decision, now);
+}
+
 void Gateway::sendAttempt(Flow& flow, const PlacementDecision& decision, core::TimePoint now)
 {
     const auto id = flow.id;
@@ -189,7 +250,7 @@
     }
     const bool broken = end == ExchangeEnd::Broken || end == ExchangeEnd::BrokenReused;
     if (broken)
-        this->reportSuspectedLoss(*flow);
+        this->reportSuspectedLoss(*flow, now);
     if (end == ExchangeEnd::BrokenReused)
         this->reusedConnectionBrokenAt[flow->service->name] = now;
     const auto kind = broken ? policy::FailureKind::Crashed : policy::FailureKind::ServerError;
@@ -241,9 +302,11 @@
     this->respond(flow.id, { 502, core::ResultCode::EndpointFailed, cause, {} });
 }
 
-void Gateway::reportSuspectedLoss(const Flow& flow)
+void Gateway::reportSuspectedLoss(const Flow& flow, core::TimePoint now)
 {
     if (const auto* const known = this->dependencies.endpointDirectory.find(flow.attempt->endpoint)) {
+        // The check of the endpoint is a request, too.
+        this->endpointRateLimits.reserve(known->entry, now);
         this->dependencies.lossTracker.suspect(
             { flow.attempt->endpoint, known->entry.address, flow.service->healthPath, flow.requestDigest });
     }
@@ -315,6 +378,7 @@
 void Gateway::tick(core::TimePoint now)
 {
     const bool paused = this->resumedAfterPause(now);
+    this->endpointRateLimits.tick(now);
     std::vector<FlowId> ids;
     ids.reserve(this->flows.size());
     for (auto& [id, flow] : this->flows) {
@@ -334,6 +398,11 @@
             this->expire(id);
             continue;
         }
+        if (flow->rateLimitWait) {
+            if (now >= flow->rateLimitWait->until)
+                this->sendAfterWait(*flow, now);
+            continue;
+        }
         this->checkInactivity(*flow, now);
         if (const auto* const current = this->find(id))
             this->retryCommitAfterOutage(*current);
--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -160,6 +160,11 @@
         .with("zone", this->settings->zone)
         .with("callers", this->settings->callerAddress.text())
         .with("store", this->settings->storeAddress.text());
+    this->nodeRegistry.setRateLimitHandler([this](const RateLimitReport& report) {
+        const auto now = core::monotonicNow();
+        if (const auto* const endpoint = this->endpointDirectory.find(report.endpoint))
+            this->gateway.rateLimits().merge(endpoint->entry, report, this->storeHealth.storeTimeMs(now), now);
+    });
     this->configurationWatch.start();
     this->endpointWatch.start();
     this->lossWatch.start();
@@ -342,6 +347,10 @@
     this->sweeper.tick(now);
     this->endpointDirectory.tick(now);
     this->lossTracker.tick(now);
+    this->gateway.rateLimits().setMembers(this->nodeRegistry.members(now), now);
+    this->nodeRegistry.setRateLimits(this->gateway.rateLimits().reports(now));
+    this->metrics.set(
+        "gateway_endpoints_limited", {}, static_cast<double>(this->gateway.rateLimits().limitedEndpoints(now)));
     this->gateway.setReadyNodesInZone(static_cast<double>(this->nodeRegistry.readyNodesInZone()));
     this->updateReady();
     this->reloadSettings();
--- a/source/gateway/NodeRegistry.cpp
+++ b/source/gateway/NodeRegistry.cpp
@@ -5,6 +5,7 @@
 #include "proto/gateway.pb.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lagoontiller::gateway {
 
@@ -32,7 +33,15 @@
 /// \brief Maximum time of that read; callers wait one second for an entry answer.
 constexpr core::Duration maxRefreshTime = std::chrono::milliseconds(400);
 
-std::string encode(const NodeEntry& entry, std::uint64_t heartbeat, core::Duration interval, std::uint64_t writtenAtMs)
+/// \brief Time without heartbeats for which a failed node of this zone still counts as a member: it may only be unable
+/// to reach the store.
+constexpr core::Duration memberRetention = std::chrono::seconds(8);
+/// \brief Maximum number of rate limits in a row; a node reports only those that it has seen last.
+constexpr std::size_t maxRateLimitReports = 128;
+constexpr std::size_t maxEndpointNameBytes = 200;
+
+std::string encode(const NodeEntry& entry, std::uint64_t heartbeat, core::Duration interval, std::uint64_t writtenAtMs,
+    const std::vector<RateLimitReport>& rateLimits)
 {
     wire::NodeRecord record;
     record.set_name(entry.name);
@@ -44,9 +53,30 @@
     record.set_heartbeat(heartbeat);
     record.set_interval_ms(static_cast<std::uint64_t>(interval.count() / 1'000));
     record.set_written_at_ms(writtenAtMs);
+    for (const auto& report : rateLimits) {
+        if (static_cast<std::size_t>(record.rate_limits_size()) == maxRateLimitReports)
+            break;
+        auto* const added = record.add_rate_limits();
+        added->set_endpoint(report.endpoint);
+        added->set_started_at_ms(report.startedAt);
+        if (report.perSecond)
+            added->set_per_second(*report.perSecond);
+        added->set_observed_at_ms(report.observedAtMs);
+    }
     return record.SerializeAsString();
 }
 
+/// \brief The report; empty if no node writes such a record.
+std::optional<RateLimitReport> decode(const wire::RateLimitRecord& record)
+{
+    const bool valid = !record.endpoint().empty() && record.endpoint().size() <= maxEndpointNameBytes
+        && (!record.has_per_second() || (std::isfinite(record.per_second()) && record.per_second() >= 0));
+    if (!valid)
+        return std::nullopt;
+    return RateLimitReport { record.endpoint(), record.started_at_ms(),
+        record.has_per_second() ? std::optional(record.per_second()) : std::nullopt, record.observed_at_ms() };
+}
+
 /// \brief Whether the record is that of the node whose row contains it, with values in the range that nodes write.
 bool isValid(const wire::NodeRecord& record, const RowKey& key)
 {
@@ -127,7 +157,8 @@
     RowTransaction transaction;
     transaction.puts.push_back({ { table, this->self.zone, this->self.name },
         encode(this->self, ++this->heartbeat, heartbeatInterval(this->knownNodes.size()),
-            this->storeHealth.knowsStoreTime() ? this->storeHealth.storeTimeMs(core::monotonicNow()) : 0),
+            this->storeHealth.knowsStoreTime() ? this->storeHealth.storeTimeMs(core::monotonicNow()) : 0,
+            this->rateLimits),
         0, false });
     this->store.transact(
         std::move(transaction), this->storeHealth.callTimeout(), [this](const StoreResult<TransactionResult>& result) {
@@ -249,6 +280,12 @@
     node.writtenAtMs = record.written_at_ms();
     node.entry
         = { record.name(), record.zone(), record.region(), record.address(), record.peer_address(), record.ready() };
+    if (!this->rateLimitReported || row.key.key == this->self.name)
+        return;
+    for (const auto& each : record.rate_limits()) {
+        if (const auto report = decode(each))
+            this->rateLimitReported(*report);
+    }
 }
 
 std::vector<std::string> NodeRegistry::addressesFor(
@@ -311,6 +348,19 @@
     return inRegion;
 }
 
+ZoneMembers NodeRegistry::members(core::TimePoint now) const
+{
+    ZoneMembers result;
+    result.self = this->self.name;
+    result.nodesByZone[this->self.zone].push_back(this->self.name);
+    for (const auto& [name, node] : this->knownNodes) {
+        const bool recent = node.entry.zone == this->self.zone && now - node.changedAt <= memberRetention;
+        if (name != this->self.name && (node.alive || recent))
+            result.nodesByZone[node.entry.zone].push_back(name);
+    }
+    return result;
+}
+
 std::size_t NodeRegistry::readyNodesInZone() const
 {
     std::size_t count = this->self.ready ? 1 : 0;
--- a/source/gateway/NodeRegistry.h
+++ b/source/gateway/NodeRegistry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/EndpointRateLimits.h"
 #include "gateway/StoreHealth.h"
 
 #include <asio/io_context.hpp>
@@ -63,6 +64,16 @@
     [[nodiscard]] std::vector<ZonePeer> zonePeers() const;
     /// \brief Peer addresses of live, ready nodes in other zones; nodes of this node's region first.
     [[nodiscard]] std::vector<std::string> otherZonePeers() const;
+    /// \brief Nodes that may send calls to endpoints: live ones, also while they shut down, and for some time those of
+    /// this zone that have failed.
+    [[nodiscard]] ZoneMembers members(core::TimePoint now) const;
+    /// \brief Rate limits that the next heartbeats report.
+    void setRateLimits(std::vector<RateLimitReport> reports) { this->rateLimits = std::move(reports); }
+    /// \brief Sets the receiver of the rate limits that other nodes report.
+    void setRateLimitHandler(std::function<void(const RateLimitReport&)> handler)
+    {
+        this->rateLimitReported = std::move(handler);
+    }
     /// \brief Number of live, ready nodes in this node's zone; at least 1.
     [[nodiscard]] std::size_t readyNodesInZone() const;
     /// \brief Heartbeat interval of each node when `nodes` nodes share the store.
@@ -102,6 +113,8 @@
     std::map<std::string, core::TimePoint> readAt;
     /// \brief Callbacks that wait for a read of the zone.
     std::map<std::string, std::vector<std::function<void()>>> refreshWaiters;
+    std::vector<RateLimitReport> rateLimits;
+    std::function<void(const RateLimitReport&)> rateLimitReported;
     std::uint64_t heartbeat = 0;
     std::uint64_t ownVersion = 0;
     std::size_t nextZone = 0;
--- a/source/gateway/Placement.cpp
+++ b/source/gateway/Placement.cpp
@@ -38,23 +38,26 @@
     return queue + std::min(load, 1.0) * request.expectedServiceMs * 0.5;
 }
 
+/// \brief Whether the call may be sent to the endpoint, apart from its rate limit.
+bool isUsable(const TrackedEndpoint& endpoint, const PlacementRequest& request)
+{
+    if (endpoint.traffic.probing && !request.repeatable)
+        return false;
+    return std::find(request.excludedEndpoints.begin(), request.excludedEndpoints.end(), endpoint.entry.id)
+        == request.excludedEndpoints.end();
+}
+
 } // namespace
 
 std::optional<PlacementDecision> chooseEndpoint(const PlacementRequest& request,
-    const EndpointDirectory& endpointDirectory, const NodeLocation& location, core::TimePoint now,
-    policy::Random& random)
+    const EndpointDirectory& endpointDirectory, const EndpointRateLimits& rateLimits, const NodeLocation& location,
+    core::TimePoint now, policy::Random& random)
 {
     PlacementDecision best;
     best.costMs = std::numeric_limits<double>::max();
     const TrackedEndpoint* preferred = nullptr;
     std::uint64_t highest = 0;
     const auto& serving = endpointDirectory.servingEndpoints(request.service);
-    const auto usable = [&request](const TrackedEndpoint& endpoint) {
-        if (endpoint.traffic.probing && !request.repeatable)
-            return false;
-        return std::find(request.excludedEndpoints.begin(), request.excludedEndpoints.end(), endpoint.entry.id)
-            == request.excludedEndpoints.end();
-    };
     // The preferred endpoint is the nearest one with the highest rendezvous score for the key, and thus the same on
     // every node of the zone.
     if (request.affinityKey != 0) {
@@ -72,7 +75,7 @@
     }
     for (const auto& id : serving) {
         const auto* const known = endpointDirectory.find(id);
-        if (!usable(*known))
+        if (!isUsable(*known, request) || rateLimits.earliestSend(known->entry, now) != now)
             continue;
         ++best.candidates;
         double cost
@@ -96,4 +99,24 @@
     return best;
 }
 
+std::optional<RateLimitedEndpoints> findRateLimitedEndpoints(const PlacementRequest& request,
+    const EndpointDirectory& endpointDirectory, const EndpointRateLimits& rateLimits, core::TimePoint now)
+{
+    std::optional<RateLimitedEndpoints> result;
+    for (const auto& id : endpointDirectory.servingEndpoints(request.service)) {
+        const auto* const known = endpointDirectory.find(id);
+        if (!isUsable(*known, request) || !rateLimits.isLimited(known->entry, now))
+            continue;
+        if (!result)
+            result.emplace();
+        result->perSecond += rateLimits.share(known->entry, now);
+        const auto at = rateLimits.earliestSend(known->entry, now);
+        if (at && (!result->at || *at < *result->at)) {
+            result->at = at;
+            result->first = id;
+        }
+    }
+    return result;
+}
+
 } // namespace lagoontiller::gateway
--- a/source/gateway/Placement.h
+++ b/source/gateway/Placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/EndpointDirectory.h"
+#include "gateway/EndpointRateLimits.h"
 #include "policy/Types.h"
 
 namespace lagoontiller::gateway {
@@ -35,9 +36,22 @@
 };
 
 /// \brief Chooses the endpoint with the lowest expected cost (network distance, load, cache). Empty when no endpoint
-/// may be used.
+/// may be used now.
 [[nodiscard]] std::optional<PlacementDecision> chooseEndpoint(const PlacementRequest& request,
-    const EndpointDirectory& endpointDirectory, const NodeLocation& location, core::TimePoint now,
-    policy::Random& random);
+    const EndpointDirectory& endpointDirectory, const EndpointRateLimits& rateLimits, const NodeLocation& location,
+    core::TimePoint now, policy::Random& random);
+
+/// \brief Endpoints that could take the call but for their rate limits.
+struct RateLimitedEndpoints {
+    /// \brief Id of the endpoint to which this node may send a call first, and that time; empty if it has no share.
+    std::string first;
+    std::optional<core::TimePoint> at;
+    /// \brief Calls per second that this node may send to all of them.
+    double perSecond = 0;
+};
+
+/// \brief Empty when no rate limit keeps the call from an endpoint.
+[[nodiscard]] std::optional<RateLimitedEndpoints> findRateLimitedEndpoints(const PlacementRequest& request,
+    const EndpointDirectory& endpointDirectory, const EndpointRateLimits& rateLimits, core::TimePoint now);
 
 } // namespace lagoontiller::gateway
--- a/tests/PlatformRecordTests.cpp
+++ b/tests/PlatformRecordTests.cpp
@@ -2,6 +2,7 @@
 // names.
 
 #include "platform/CallerMessages.h"
+#include "platform/EndpointMessages.h"
 #include "platform/EntryMessages.h"
 #include "platform/Records.h"
 
@@ -143,4 +144,34 @@
     EXPECT_FALSE(decodeEntryQuery({ "GET", "/v1/other", {}, {}, true, {} }).has_value());
 }
 
+struct RateLimitCase {
+    std::string name;
+    std::string value;
+    int status = 200;
+    std::optional<double> perSecond;
+};
+
+void PrintTo(const RateLimitCase& limit, std::ostream* stream)
+{
+    *stream << limit.name;
+}
+
+class StatedRateLimit : public testing::TestWithParam<RateLimitCase> { };
+
+// Guards against a limit that a faulty endpoint states, or that belongs to another process.
+TEST_P(StatedRateLimit, IsADecimalNumber)
+{
+    transport::ResponseHead head;
+    head.status = GetParam().status;
+    head.fields.add("Server-Limit", GetParam().value);
+    EXPECT_EQ(decodeResponse(std::move(head)).rateLimit, GetParam().perSecond);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, StatedRateLimit,
+    testing::Values(RateLimitCase { "Decimal", "2.5", 200, 2.5 }, RateLimitCase { "Zero", "0", 200, 0.0 },
+        RateLimitCase { "InARefusal", "3", 503, 3.0 }, RateLimitCase { "OfAnotherProcess", "3", 421, std::nullopt },
+        RateLimitCase { "Negative", "-1", 200, std::nullopt }, RateLimitCase { "Text", "few", 200, std::nullopt },
+        RateLimitCase { "NotFinite", "inf", 200, std::nullopt }),
+    [](const auto& info) { return info.param.name; });
+
 } // namespace lagoontiller::platform
