Log the software versions of endpoints and streams that callers resume

Change: the version of the endpoint's entry and the id of the resumed stream are decoded and logged. No decision uses them yet. Measured: nothing; no decision changes.

--- a/source/gateway/EndpointDirectory.cpp
+++ b/source/gateway/EndpointDirectory.cpp
@@ -43,6 +43,7 @@
         .with("service", entry.service)
         .with("address", entry.address)
         .with("zone", entry.zone)
+        .with("version", entry.version)
         .with("state", entry.draining ? "draining" : "ready");
     if (!previousService.empty() && previousService != entry.service)
         this->setServing(previousService, entry.id, false);
@@ -95,6 +96,16 @@
     return found == this->services.end() ? none : found->second;
 }
 
+std::set<std::string> EndpointDirectory::versions(const std::string& service) const
+{
+    std::set<std::string> result;
+    for (const auto& [id, endpoint] : this->endpoints) {
+        if (endpoint.entry.service == service)
+            result.insert(endpoint.entry.version);
+    }
+    return result;
+}
+
 void EndpointDirectory::callSent(const std::string& id, core::TimePoint now)
 {
     const auto found = this->endpoints.find(id);
--- a/source/gateway/EndpointDirectory.h
+++ b/source/gateway/EndpointDirectory.h
@@ -4,6 +4,7 @@
 #include "policy/HealthTracker.h"
 
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace lagoontiller::gateway {
@@ -38,6 +39,9 @@
     /// \brief Sorted ids of the service's endpoints that are not draining; empty for an unknown service.
     [[nodiscard]] const std::vector<std::string>& servingEndpoints(const std::string& service) const;
 
+    /// \brief Software versions of all known endpoints of the service.
+    [[nodiscard]] std::set<std::string> versions(const std::string& service) const;
+
     /// \brief Records the start of a call. Reports for unknown endpoints are ignored here and below.
     void callSent(const std::string& id, core::TimePoint now);
     /// \brief Records a successful call; `relativeLatency` is its duration divided by the typical duration of such
--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -110,6 +110,8 @@
     flow.waitsForBudget
         = flow.route->kind == CallKind::Streaming && flow.call.tokenBudget.has_value() && !flow.call.program.empty();
     flow.waitsForHistory = flow.route->keepsHistory && !flow.call.previousTurn.empty();
+    if (flow.route->resumable && flow.lastEvent)
+        core::logInfo("stream_resumed").with("id", flow.call.id).with("stream", flow.call.resumedStream);
     const bool history = flow.waitsForHistory;
     if (flow.waitsForBudget)
         this->reserveBudget(id, now);
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -195,15 +195,16 @@
     events.head = [this, id](transport::ResponseHead&& head) { this->handleResponseHead(id, std::move(head)); };
     events.body = [this, id](std::string&& bytes) { this->handleResponseBody(id, std::move(bytes)); };
     events.ended = [this, id](ExchangeEnd end) { this->attemptEnded(id, end); };
+    const auto* const endpoint = this->dependencies.endpointDirectory.find(decision.endpoint);
     core::logInfo("call_sent")
         .with("id", flow.call.id)
         .with("endpoint", decision.endpoint)
+        .with("endpoint_version", endpoint->entry.version)
         .with("attempt", flow.attempts)
         .with("cost_ms", static_cast<int>(decision.costMs))
         .with("candidates", decision.candidates)
         .with("configuration", this->configuration->version)
         .with("remaining_ms", request.remaining.count() / 1'000);
-    const auto* const endpoint = this->dependencies.endpointDirectory.find(decision.endpoint);
     flow.attempt.emplace(decision.endpoint, endpoint->entry.startedAt, now);
     this->dependencies.endpointDirectory.callSent(decision.endpoint, now);
     flow.attempt->exchange = this->dependencies.endpoints.send(
--- a/source/gateway/Types.h
+++ b/source/gateway/Types.h
@@ -93,6 +93,8 @@
     bool draining = false;
     /// \brief Start of the process in Unix milliseconds; distinguishes processes with the same id.
     std::int64_t startedAt = 0;
+    /// \brief Version of its software. Output of different versions does not fit together.
+    std::string version {};
     [[nodiscard]] bool operator==(const Endpoint&) const = default;
 };
 
@@ -128,6 +130,8 @@
     std::string affinity;
     /// \brief Id of the last event that the caller has received.
     std::optional<std::uint64_t> lastEvent;
+    /// \brief Id of the call that brought the first event of the stream that this call resumes.
+    std::string resumedStream {};
     /// \brief Header fields that are forwarded unchanged.
     transport::Fields forwarded;
     std::string body;
--- a/tests/PlatformRecordTests.cpp
+++ b/tests/PlatformRecordTests.cpp
@@ -44,7 +44,7 @@
 {
     const auto endpoint = decodeEndpoint("i-1", goodEntry);
     ASSERT_TRUE(endpoint.has_value());
-    EXPECT_EQ(*endpoint, (gateway::Endpoint { "i-1", "s", "10.0.0.1:80", "z", 6, false, 17 }));
+    EXPECT_EQ(*endpoint, (gateway::Endpoint { "i-1", "s", "10.0.0.1:80", "z", 6, false, 17, "v1" }));
     EXPECT_TRUE(decodeEndpoint("i-1", replaced(goodEntry, "ready", "draining"))->draining);
 }
 
