Add failing tests for streams that are resumed at another software version

Callers see: one stream whose first part comes from one version and whose rest comes from another, with nothing that shows it. Cause: placement does not look at the version of an endpoint.

--- a/tests/support/GatewayWorld.h
+++ b/tests/support/GatewayWorld.h
@@ -49,7 +49,9 @@
     }
 
     /// \brief Puts a route of the kind in force, with `endpoints` behind it.
-    void serve(gateway::Route route, const std::vector<ScriptedEndpoint*>& endpoints)
+    /// `versions` are their software versions, all the same if there are fewer.
+    void serve(gateway::Route route, const std::vector<ScriptedEndpoint*>& endpoints,
+        const std::vector<std::string>& endpointVersions = {})
     {
         route.host = "h";
         route.pathPrefix = "/p/";
@@ -64,10 +66,13 @@
             service.engine = gateway::EngineTraits { 4, 1'000, 2 };
         configuration.services = { service };
         this->gateway.configure(std::make_shared<const gateway::Configuration>(configuration));
-        int number = 0;
+        std::size_t number = 0;
         for (const auto* endpoint : endpoints) {
+            const auto version = number < endpointVersions.size() ? endpointVersions[number] : std::string();
+            ++number;
             this->directory.upsert(
-                { "i-" + std::to_string(++number), "s", endpoint->address(), "z", 4, false, 0 }, core::monotonicNow());
+                { "i-" + std::to_string(number), "s", endpoint->address(), "z", 4, false, 0, version },
+                core::monotonicNow());
         }
     }
 
--- a/tests/support/ScriptedEndpoint.h
+++ b/tests/support/ScriptedEndpoint.h
@@ -30,6 +30,8 @@
         std::string repeated {};
         /// \brief Pause before each repetition.
         std::chrono::milliseconds pause {};
+        /// \brief Sent instead if the request resumes a stream; empty for no difference.
+        std::string resumed {};
     };
 
     ScriptedEndpoint(asio::io_context& context, std::vector<Answer> answers)
@@ -114,8 +116,11 @@
     void answer(const Found& connection)
     {
         const auto index = std::min(this->requests.size(), this->answers.size()) - 1;
-        const auto then = this->answers[index].then;
-        auto bytes = std::make_shared<std::string>(this->answers[index].bytes);
+        const auto& answer = this->answers[index];
+        const bool resumes
+            = !answer.resumed.empty() && this->requests.back().find("\r\nLast-Event-Id: ") != std::string::npos;
+        const auto then = resumes ? Answer::Then::Keep : answer.then;
+        auto bytes = std::make_shared<std::string>(resumes ? answer.resumed : answer.bytes);
         if (const auto at = bytes->find("{id}"); at != std::string::npos)
             bytes->replace(at, 4, requestId(this->requests.back()));
         asio::async_write(connection->socket, asio::buffer(*bytes),
