Resume a stream only at the software version that began it

Cause: endpoints of a service counted as equal when the gateway went on with a broken stream and when a caller took one up. Change: both go only to endpoints of the version that began the stream. Which one that is, a node knows from its memory, from the service's row if one version alone was in service, from three nodes of the zone, or from the stream's row; the last two are written only while several versions are in service. Why it holds: a version is listed in the service's row before streams begin at it, so a node without memory knows which may have begun a stream.

--- a/source/gateway/Flow.h
+++ b/source/gateway/Flow.h
@@ -14,9 +14,10 @@
 
 /// \brief An attempt of a call that is in progress at an endpoint.
 struct FlowAttempt {
-    FlowAttempt(std::string endpoint, std::int64_t endpointStartedAt, core::TimePoint sentAt)
-        : endpoint(std::move(endpoint))
-        , endpointStartedAt(endpointStartedAt)
+    FlowAttempt(const Endpoint& endpoint, core::TimePoint sentAt)
+        : endpoint(endpoint.id)
+        , endpointStartedAt(endpoint.startedAt)
+        , endpointVersion(endpoint.version)
         , sentAt(sentAt)
         , progress(sentAt)
     {
@@ -26,6 +27,8 @@
     std::string endpoint;
     /// \brief Identifies the endpoint's process, like `Endpoint::startedAt`.
     std::int64_t endpointStartedAt = 0;
+    /// \brief Software version of that process.
+    std::string endpointVersion;
     core::TimePoint sentAt {};
     AttemptProgress progress;
     /// \brief Whether the limiter of new programs knows how the first event came.
@@ -58,6 +61,7 @@
     // Preparation.
     bool waitsForBudget = false;
     bool waitsForHistory = false;
+    bool waitsForStreamVersion = false;
     std::optional<Reservation> reservation;
     Chain chain;
     /// \brief Request body for the endpoint if it differs from the caller's.
@@ -73,6 +77,8 @@
     std::optional<FlowAttempt> attempt;
 
     // Response.
+    /// \brief Software version that began the stream; only its endpoints may resume it.
+    std::optional<std::string> streamVersion;
     bool responseStarted = false;
     bool committing = false;
     /// \brief Number of attempts to write the turn, and the start time of the last one.
--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -11,6 +11,8 @@
 #include "gateway/ResponseMemory.h"
 #include "gateway/RetrySchedule.h"
 #include "gateway/RouteTable.h"
+#include "gateway/ServiceVersions.h"
+#include "gateway/StreamVersionRows.h"
 
 namespace lagoontiller::gateway {
 
@@ -24,6 +26,8 @@
     PeerService& peerService;
     EndpointLossTracker& lossTracker;
     StoreHealth& storeHealth;
+    ServiceVersions& serviceVersions;
+    StreamVersionRows& streamVersionRows;
     core::MetricRegistry& metrics;
 };
 
@@ -53,6 +57,9 @@
     /// \brief Rate limits that endpoints state, to exchange them with other nodes.
     [[nodiscard]] EndpointRateLimits& rateLimits() noexcept { return this->endpointRateLimits; }
 
+    /// \brief Follows which software versions the services with resumable streams have; call periodically.
+    void updateServiceVersions(core::TimePoint now);
+
     /// \brief Ends all calls in progress, as if their deadline had passed.
     void endAll();
 
@@ -73,6 +80,12 @@
     void handleBudgetAnswer(FlowId id, BudgetAnswer answer);
     void loadHistory(FlowId id);
     void handleHistory(FlowId id, tl::expected<Chain, HistoryFailure> chain);
+    /// \brief Finds the software version that began the stream that the call resumes.
+    void findStreamVersion(FlowId id);
+    /// \brief Looks for the version at other nodes and in the store; refuses the call if it is not known there.
+    void searchStreamVersion(FlowId id);
+    void resumeAt(FlowId id, const std::optional<std::string>& version);
+    void refuseResumption(FlowId id);
     void dispatchWhenPrepared(FlowId id);
 
     /// \brief Whether the engines of the call's service have room for a new program; always true for other services.
@@ -96,6 +109,10 @@
     /// \brief Tells the limiter of the service, once per attempt, whether the first event came within the objective of
     /// the route.
     void recordFirstEvent(Flow& flow, bool inTime, core::TimePoint now);
+    /// \brief Software versions that may take the call; any if empty.
+    [[nodiscard]] std::set<std::string> permittedVersions(const Flow& flow) const;
+    /// \brief Remembers the software version that began the stream, for callers that resume it.
+    void noteStreamVersion(const Flow& flow, core::TimePoint now);
     /// \brief Whether the call may be sent again although an endpoint may have executed it.
     [[nodiscard]] bool mayRetry(const Flow& flow) const;
     void checkInactivity(Flow& flow, core::TimePoint now);
@@ -131,6 +148,8 @@
     std::shared_ptr<const Configuration> configuration;
     RouteTable routes;
     std::unordered_map<std::string, std::shared_ptr<const Service>> services;
+    /// \brief Services of resumable routes, and whether several software versions of them were in service last.
+    std::map<std::string, bool> resumableServices;
     /// \brief Per service, the last time at which a reused connection broke before a response.
     std::unordered_map<std::string, core::TimePoint> reusedConnectionBrokenAt;
     EndpointRateLimits endpointRateLimits;
--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -20,6 +20,16 @@
 /// \brief Retry delay for callers while no configuration has been loaded yet.
 constexpr core::Duration retryAfterStartup = std::chrono::milliseconds(500);
 
+/// \brief Time that a node may need to list a new software version, and to notice that one has left.
+constexpr core::Duration versionListingMargin = std::chrono::seconds(5);
+
+/// \brief Time after its start within which a stream of the route may be resumed: callers resume it within their
+/// deadline, which can be later than the time-out of the route.
+core::Duration resumptionTime(const Route& route)
+{
+    return route.timeout * 2;
+}
+
 std::string_view toString(BudgetAnswer answer) noexcept
 {
     switch (answer) {
@@ -52,6 +62,14 @@
     this->services.clear();
     for (const auto& service : next->services)
         this->services.emplace(service.name, std::make_shared<const Service>(service));
+    std::map<std::string, bool> resumable;
+    for (const auto& route : next->routes) {
+        for (const auto& each : route.services) {
+            if (route.resumable)
+                resumable[each.service] = this->resumableServices[each.service];
+        }
+    }
+    this->resumableServices = std::move(resumable);
     this->configuration = std::move(next);
 }
 
@@ -110,13 +128,15 @@
     flow.waitsForBudget
         = flow.route->kind == CallKind::Streaming && flow.call.tokenBudget.has_value() && !flow.call.program.empty();
     flow.waitsForHistory = flow.route->keepsHistory && !flow.call.previousTurn.empty();
-    if (flow.route->resumable && flow.lastEvent)
-        core::logInfo("stream_resumed").with("id", flow.call.id).with("stream", flow.call.resumedStream);
+    flow.waitsForStreamVersion = flow.route->resumable && flow.lastEvent.has_value();
     const bool history = flow.waitsForHistory;
+    const bool resumes = flow.waitsForStreamVersion;
     if (flow.waitsForBudget)
         this->reserveBudget(id, now);
     if (history && this->find(id) != nullptr)
         this->loadHistory(id);
+    if (resumes && this->find(id) != nullptr)
+        this->findStreamVersion(id);
     this->dispatchWhenPrepared(id);
 }
 
@@ -227,10 +247,103 @@
     this->dispatchWhenPrepared(id);
 }
 
+void Gateway::findStreamVersion(FlowId id)
+{
+    const auto& flow = *this->find(id);
+    const auto& stream = flow.call.resumedStream;
+    if (auto version = this->dependencies.peerService.knownStreamVersion(stream)) {
+        this->resumeAt(id, version);
+        return;
+    }
+    const auto window = resumptionTime(*flow.route) + versionListingMargin;
+    this->dependencies.serviceVersions.inServiceWithin(
+        flow.service->name, window, [this, id, stream](ServiceVersions::Candidates candidates) {
+            const auto* const waiting = this->find(id);
+            if (waiting == nullptr)
+                return;
+            // No node has listed a version yet.
+            if (candidates && candidates->empty())
+                candidates = this->dependencies.endpointDirectory.versions(waiting->service->name);
+            if (candidates && candidates->size() <= 1) {
+                this->resumeAt(id, candidates->empty() ? std::nullopt : std::optional(*candidates->begin()));
+                return;
+            }
+            this->searchStreamVersion(id);
+        });
+}
+
+void Gateway::searchStreamVersion(FlowId id)
+{
+    const auto stream = this->find(id)->call.resumedStream;
+    const auto searched = [this, id](const std::optional<std::string>& version) {
+        if (this->find(id) == nullptr)
+            return;
+        if (version)
+            this->resumeAt(id, version);
+        else
+            this->refuseResumption(id);
+    };
+    this->dependencies.peerService.findStreamVersion(
+        stream, core::monotonicNow(), [this, id, stream, searched](const std::optional<std::string>& version) {
+            if (version || stream.empty() || this->find(id) == nullptr)
+                searched(version);
+            else
+                this->dependencies.streamVersionRows.read(stream, searched);
+        });
+}
+
+void Gateway::resumeAt(FlowId id, const std::optional<std::string>& version)
+{
+    auto& flow = *this->find(id);
+    core::logInfo("stream_resumed")
+        .with("id", flow.call.id)
+        .with("stream", flow.call.resumedStream)
+        .with("version", version.value_or(std::string("any")))
+        .with("waited_ms", (core::monotonicNow() - flow.arrivedAt).count() / 1'000);
+    flow.streamVersion = version;
+    flow.waitsForStreamVersion = false;
+    this->dispatchWhenPrepared(id);
+}
+
+void Gateway::refuseResumption(FlowId id)
+{
+    const auto& flow = *this->find(id);
+    core::logWarning("stream_version_unknown").with("id", flow.call.id).with("stream", flow.call.resumedStream);
+    this->respond(id, { 503, core::ResultCode::NoEndpoint, "stream_version_unknown", {} });
+}
+
+void Gateway::updateServiceVersions(core::TimePoint now)
+{
+    auto& versions = this->dependencies.serviceVersions;
+    for (auto& [service, hadSeveral] : this->resumableServices) {
+        versions.update(service, this->dependencies.endpointDirectory.versions(service), now);
+        const bool several = versions.severalInService(service);
+        if (several == std::exchange(hadSeveral, several) || !several)
+            continue;
+        core::logInfo("several_versions_in_service").with("service", service);
+        // Streams that began before are known to this node only.
+        for (const auto& [id, flow] : this->flows) {
+            if (flow.service && flow.service->name == service && flow.responseStarted && flow.streamVersion)
+                this->noteStreamVersion(flow, now);
+        }
+    }
+}
+
+void Gateway::noteStreamVersion(const Flow& flow, core::TimePoint now)
+{
+    const auto& stream = flow.call.resumedStream.empty() ? flow.call.id : flow.call.resumedStream;
+    const bool several = this->dependencies.serviceVersions.severalInService(flow.service->name);
+    const StreamVersion note { stream, *flow.streamVersion, resumptionTime(*flow.route) };
+    this->dependencies.peerService.noteStreamVersion(note, several, now);
+    if (several)
+        this->dependencies.streamVersionRows.write(note.stream, note.version, note.resumable, now);
+}
+
 void Gateway::dispatchWhenPrepared(FlowId id)
 {
     const auto* const flow = this->find(id);
-    if (flow == nullptr || flow->waitsForBudget || flow->waitsForHistory || flow->attempts > 0 || flow->rateLimitWait)
+    if (flow == nullptr || flow->waitsForBudget || flow->waitsForHistory || flow->waitsForStreamVersion
+        || flow->attempts > 0 || flow->rateLimitWait)
         return;
     this->dispatch(id, core::monotonicNow());
 }
--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -113,6 +113,11 @@
         this->recordFirstEvent(flow, now - flow.attempt->sentAt <= flow.route->targetLatency, now);
         flow.responseStarted = true;
         flow.firstEventAt = now;
+        if (flow.route->resumable) {
+            if (!flow.streamVersion)
+                flow.streamVersion = flow.attempt->endpointVersion;
+            this->noteStreamVersion(flow, now);
+        }
         this->dependencies.callers.begin(
             flow.connection, platform::encodeForwardedResponseHead(*flow.attempt->response));
     }
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -36,6 +36,9 @@
 constexpr int maxWaitTargetLatencyDivisor = 2;
 /// \brief Retry delay for callers when all endpoints are full.
 constexpr core::Duration retryAfterEndpointsFull = std::chrono::milliseconds(300);
+/// \brief Retry delay for callers that resume a stream while no endpoint of its software version is available;
+/// endpoints that crashed are back after some seconds.
+constexpr core::Duration retryAfterVersionGone = std::chrono::milliseconds(1'000);
 /// \brief Expected service times of a plain call and of a stream, for the load estimate of endpoints.
 constexpr double expectedPlainCallMs = 100;
 constexpr double expectedStreamMs = 300;
@@ -109,7 +112,8 @@
         this->expire(id);
         return;
     }
-    const auto request = placementRequest(flow);
+    auto request = placementRequest(flow);
+    request.versions = this->permittedVersions(flow);
     const auto& directory = this->dependencies.endpointDirectory;
     const auto decision
         = chooseEndpoint(request, directory, this->endpointRateLimits, this->location, now, this->random);
@@ -122,6 +126,8 @@
     if (!decision || flow.attempts >= maxAttemptsPerCall) {
         if (flow.possibleRuns > 0 || flow.responseStarted)
             this->respond(id, { 502, core::ResultCode::EndpointFailed, "no_endpoint_left", {} });
+        else if (flow.streamVersion)
+            this->respond(id, { 503, core::ResultCode::NoEndpoint, "stream_version_gone", retryAfterVersionGone });
         else
             this->respond(id, { 503, core::ResultCode::NoEndpoint, "no_endpoint", retryAfterEndpointsFull });
         return;
@@ -130,6 +136,15 @@
     this->sendAttempt(flow, *decision, now);
 }
 
+std::set<std::string> Gateway::permittedVersions(const Flow& flow) const
+{
+    if (flow.streamVersion)
+        return { *flow.streamVersion };
+    // A version is listed before streams begin at it, so that nodes without memory know that they may have.
+    return flow.route->resumable ? this->dependencies.serviceVersions.listed(flow.service->name)
+                                 : std::set<std::string>();
+}
+
 void Gateway::waitForRateLimit(Flow& flow, const RateLimitedEndpoints& limited, core::TimePoint now)
 {
     const bool newProgram = startsProgram(flow);
@@ -205,7 +220,7 @@
         .with("candidates", decision.candidates)
         .with("configuration", this->configuration->version)
         .with("remaining_ms", request.remaining.count() / 1'000);
-    flow.attempt.emplace(decision.endpoint, endpoint->entry.startedAt, now);
+    flow.attempt.emplace(endpoint->entry, now);
     this->dependencies.endpointDirectory.callSent(decision.endpoint, now);
     flow.attempt->exchange = this->dependencies.endpoints.send(
         decision.address, platform::encodeRequest(flow.call, request), std::move(options), std::move(events));
--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -89,12 +89,15 @@
     , rowExpiry(this->store, this->storeHealth)
     , sweeper(this->store, this->storeHealth,
           { { impl::turnTable, impl::turnPartCount, impl::turnKeptUntilMs },
-              { TokenBudgets::table, TokenBudgets::partCount, TokenBudgets::keptUntilMs } },
+              { TokenBudgets::table, TokenBudgets::partCount, TokenBudgets::keptUntilMs },
+              { StreamVersionRows::table, StreamVersionRows::partCount, StreamVersionRows::keptUntilMs } },
           std::random_device()())
     , tokenBudgets(this->context, this->store, this->storeHealth, this->rowExpiry,
           this->settings->nodeName + ":" + core::randomHex(4))
     , turnStore(this->store, this->storeHealth, this->rowExpiry, this->settings->memoryBytes / turnCacheMemoryDivisor,
           this->settings->rowBytes * base64DecodedBytes / base64EncodedBytes)
+    , serviceVersions(this->store, this->storeHealth)
+    , streamVersionRows(this->store, this->storeHealth, this->rowExpiry)
     , endpointDirectory(healthOptions())
     , callerServer(this->context,
           { [this](transport::ConnectionId connection, transport::Request&& request) {
@@ -125,7 +128,8 @@
           this->relayServer })
     , lossTracker(this->context, this->endpointPool, this->store, this->storeHealth, this->rowExpiry)
     , gateway({ this->context, this->callerServer, this->endpointPool, this->endpointDirectory, this->turnStore,
-                  this->peerService, this->lossTracker, this->storeHealth, this->metrics },
+                  this->peerService, this->lossTracker, this->storeHealth, this->serviceVersions,
+                  this->streamVersionRows, this->metrics },
           { this->settings->zone, this->settings->region, this->settings->zones, 1 }, std::random_device()(),
           std::max(this->settings->memoryBytes / responseMemoryDivisor, minResponseMemoryBytes))
     , configurationWatch(this->context, this->directStore, this->storeHealth, std::string(platform::configurationTable),
@@ -346,7 +350,9 @@
     this->rowExpiry.tick(now);
     this->sweeper.tick(now);
     this->endpointDirectory.tick(now);
+    this->gateway.updateServiceVersions(now);
     this->lossTracker.tick(now);
+    this->streamVersionRows.setNodeCount(this->nodeRegistry.size());
     this->gateway.rateLimits().setMembers(this->nodeRegistry.members(now), now);
     this->nodeRegistry.setRateLimits(this->gateway.rateLimits().reports(now));
     this->metrics.set(
--- a/source/gateway/Node.h
+++ b/source/gateway/Node.h
@@ -61,6 +61,8 @@
     Sweeper sweeper;
     TokenBudgets tokenBudgets;
     TurnStore turnStore;
+    ServiceVersions serviceVersions;
+    StreamVersionRows streamVersionRows;
     EndpointDirectory endpointDirectory;
     transport::Server callerServer;
     transport::Server readinessServer;
--- a/source/gateway/NodeRegistry.h
+++ b/source/gateway/NodeRegistry.h
@@ -76,6 +76,8 @@
     }
     /// \brief Number of live, ready nodes in this node's zone; at least 1.
     [[nodiscard]] std::size_t readyNodesInZone() const;
+    /// \brief Number of known nodes in all zones.
+    [[nodiscard]] std::size_t size() const noexcept { return this->knownNodes.size(); }
     /// \brief Heartbeat interval of each node when `nodes` nodes share the store.
     [[nodiscard]] static core::Duration heartbeatInterval(std::size_t nodes) noexcept;
 
--- a/source/gateway/PeerService.cpp
+++ b/source/gateway/PeerService.cpp
@@ -6,6 +6,8 @@
 #include "gateway/impl/TurnRows.h"
 #include "proto/gateway.pb.h"
 
+#include <algorithm>
+
 namespace lagoontiller::gateway {
 
 namespace {
@@ -18,6 +20,13 @@
 constexpr core::Duration pendingAnswerDelay = std::chrono::milliseconds(100);
 /// \brief Maximum wait for a reservation; callers disconnect after 2 s without an event.
 constexpr core::Duration maxReservationWait = std::chrono::milliseconds(1'500);
+/// \brief Number of other nodes that remember the version that began a stream, and of those that are asked for it:
+/// nodes may select different holders while their views of the zone differ, and the node that served the stream may be
+/// one.
+constexpr std::size_t streamHolderCount = 2;
+constexpr std::size_t askedHolderCount = 3;
+/// \brief Longest time for which a peer may ask to remember a stream.
+constexpr core::Duration maxStreamRetention = std::chrono::minutes(10);
 /// \brief Maximum number of homes that are tried before the node reserves from its own share.
 constexpr int maxHomesTried = 2;
 
@@ -166,6 +175,7 @@
 
 void PeerService::tick(core::TimePoint now)
 {
+    this->streamVersions.tick(now);
     std::vector<std::string> overdue;
     for (auto& [id, held] : this->heldReservations) {
         if (held.waiter && held.answerBy <= now)
@@ -217,6 +227,64 @@
     this->client.send(home, message, [](const wire::PeerResponse*) {});
 }
 
+std::vector<std::string> PeerService::streamHolders(
+    const std::string& stream, std::size_t count, core::TimePoint now) const
+{
+    const auto hash = core::hash64(stream);
+    std::vector<std::pair<std::uint64_t, std::string>> scored;
+    for (const auto& peer : this->nodeRegistry.zonePeers()) {
+        if (!peer.self && !this->client.isSuspected(peer.address, now))
+            scored.emplace_back(core::combine(hash, core::hash64(peer.address)), peer.address);
+    }
+    std::sort(scored.begin(), scored.end(), std::greater<>());
+    scored.resize(std::min(scored.size(), count));
+    std::vector<std::string> holders;
+    for (auto& [score, address] : scored)
+        holders.push_back(std::move(address));
+    return holders;
+}
+
+void PeerService::noteStreamVersion(const StreamVersion& note, bool share, core::TimePoint now)
+{
+    this->streamVersions.note(note.stream, note.version, now + note.resumable);
+    if (!share)
+        return;
+    wire::PeerRequest message;
+    auto* const noted = message.mutable_note_stream();
+    noted->set_stream(note.stream);
+    noted->set_version(note.version);
+    noted->set_resumable_ms(static_cast<std::uint64_t>(note.resumable.count() / 1'000));
+    // If the message is lost, the stream is not resumed: the version that began it is then unknown.
+    for (const auto& holder : this->streamHolders(note.stream, streamHolderCount, now))
+        this->client.send(holder, message, [](const wire::PeerResponse*) {});
+}
+
+void PeerService::findStreamVersion(
+    const std::string& stream, core::TimePoint now, const std::function<void(const std::optional<std::string>&)>& done)
+{
+    const auto holders = this->streamHolders(stream, askedHolderCount, now);
+    if (stream.empty() || holders.empty()) {
+        done(std::nullopt);
+        return;
+    }
+    wire::PeerRequest message;
+    message.mutable_find_stream()->set_stream(stream);
+    auto unanswered = std::make_shared<std::size_t>(holders.size());
+    for (const auto& holder : holders) {
+        this->client.send(holder, message, [unanswered, done](const wire::PeerResponse* response) {
+            if (*unanswered == 0)
+                return;
+            --*unanswered;
+            if (response != nullptr && !response->stream_version().empty()) {
+                *unanswered = 0;
+                done(response->stream_version());
+            } else if (*unanswered == 0) {
+                done(std::nullopt);
+            }
+        });
+    }
+}
+
 void PeerService::respond(transport::ConnectionId connection, const wire::PeerResponse& response)
 {
     this->server.respond(connection, transport::statusLine(200), response.SerializeAsString());
@@ -313,6 +381,19 @@
     case wire::PeerRequest::kOffer:
         this->turnStore.cache(impl::decodeRecord(message.offer().id(), message.offer().turn()));
         break;
+    case wire::PeerRequest::kNoteStream: {
+        const auto& note = message.note_stream();
+        const auto limitMs = std::chrono::duration_cast<std::chrono::milliseconds>(maxStreamRetention).count();
+        const auto resumable = std::min(note.resumable_ms(), static_cast<std::uint64_t>(limitMs));
+        this->streamVersions.note(note.stream(), note.version(), now + std::chrono::milliseconds(resumable));
+        break;
+    }
+    case wire::PeerRequest::kFindStream: {
+        wire::PeerResponse response;
+        response.set_stream_version(this->streamVersions.find(message.find_stream().stream()).value_or(std::string()));
+        this->respond(connection, response);
+        return;
+    }
     case wire::PeerRequest::kTransaction:
     case wire::PeerRequest::kRead:
         this->relayServer.serve(
--- a/source/gateway/PeerService.h
+++ b/source/gateway/PeerService.h
@@ -3,6 +3,7 @@
 #include "gateway/NodeRegistry.h"
 #include "gateway/PeerClient.h"
 #include "gateway/RelayServer.h"
+#include "gateway/StreamVersions.h"
 #include "gateway/TokenBudgets.h"
 #include "gateway/TurnStore.h"
 #include "transport/Server.h"
@@ -26,6 +27,15 @@
     bool firstTurn = false;
 };
 
+/// \brief The software version that began a stream, which is named by the id of the call that brought its first event.
+struct StreamVersion {
+    std::string stream;
+    std::string version;
+    /// \brief Time for which the stream may be resumed.
+    core::Duration resumable {};
+    [[nodiscard]] bool operator==(const StreamVersion&) const = default;
+};
+
 /// \brief Objects that the peer service uses; all of them must outlive it.
 struct PeerServiceDependencies {
     PeerClient& client;
@@ -63,6 +73,17 @@
     /// \brief Sends a durable turn to the program's home for caching.
     void offerTurn(const std::string& program, const Turn& turn, core::TimePoint now);
 
+    /// \brief Remembers the version that began a stream; if `share` is set, also at two other nodes of the zone.
+    void noteStreamVersion(const StreamVersion& note, bool share, core::TimePoint now);
+    /// \brief The version that began the stream, as far as this node itself remembers it.
+    [[nodiscard]] std::optional<std::string> knownStreamVersion(const std::string& stream) const
+    {
+        return this->streamVersions.find(stream);
+    }
+    /// \brief Asks the nodes of the zone that may remember the version that began the stream.
+    void findStreamVersion(const std::string& stream, core::TimePoint now,
+        const std::function<void(const std::optional<std::string>&)>& done);
+
     /// \brief Whether this node is the home of the program.
     [[nodiscard]] bool isHome(const std::string& program, core::TimePoint now)
     {
@@ -100,6 +121,9 @@
 
     /// \brief Peer address of the program's home; empty if it is this node.
     [[nodiscard]] std::string homeOf(const std::string& program, core::TimePoint now);
+    /// \brief Addresses of the other nodes of the zone that rendezvous hashing selects for the stream.
+    [[nodiscard]] std::vector<std::string> streamHolders(
+        const std::string& stream, std::size_t count, core::TimePoint now) const;
     void respond(transport::ConnectionId connection, const wire::PeerResponse& response);
     void reserveAt(const std::string& home, const std::shared_ptr<ReservationAttempt>& attempt);
     void sendReservation(const std::shared_ptr<ReservationAttempt>& attempt);
@@ -117,6 +141,7 @@
     TurnStore& turnStore;
     NodeRegistry& nodeRegistry;
     RelayServer& relayServer;
+    StreamVersions streamVersions;
     std::unordered_map<std::string, HeldReservation> heldReservations;
     /// \brief Prefix of the reservation ids of this process.
     std::string incarnation;
--- a/source/gateway/Placement.cpp
+++ b/source/gateway/Placement.cpp
@@ -43,6 +43,8 @@
 {
     if (endpoint.traffic.probing && !request.repeatable)
         return false;
+    if (!request.versions.empty() && !request.versions.contains(endpoint.entry.version))
+        return false;
     return std::find(request.excludedEndpoints.begin(), request.excludedEndpoints.end(), endpoint.entry.id)
         == request.excludedEndpoints.end();
 }
--- a/source/gateway/Placement.h
+++ b/source/gateway/Placement.h
@@ -26,6 +26,8 @@
     double expectedServiceMs = 100;
     bool repeatable = false;
     std::vector<std::string> excludedEndpoints;
+    /// \brief Software versions that may take the call; any if empty.
+    std::set<std::string> versions;
 };
 
 struct PlacementDecision {
--- /dev/null
+++ b/source/gateway/StreamVersionRows.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "gateway/RowExpiry.h"
+#include "gateway/RowStore.h"
+#include "gateway/StoreHealth.h"
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+
+namespace lagoontiller::gateway {
+
+/// \brief Rows that state which software version began a stream, for callers that resume it after all nodes that
+/// remember it have failed.
+///
+/// They are written only while several versions are in service, and by all nodes together at most
+/// `maxStreamRowsPerSecond` times a second; streams beyond that are remembered in memory only.
+class StreamVersionRows {
+public:
+    static constexpr auto table = "streams";
+    static constexpr std::uint64_t partCount = 16;
+
+    StreamVersionRows(RowStore& store, StoreHealth& storeHealth, RowExpiry& rowExpiry)
+        : store(store)
+        , storeHealth(storeHealth)
+        , rowExpiry(rowExpiry)
+    {
+    }
+
+    /// \brief Number of nodes that share the rate of writes.
+    void setNodeCount(std::size_t count) { this->nodeCount = std::max<std::size_t>(count, 1); }
+    /// \brief Writes the row unless this node has used up its part of the rate; a failed write is not repeated.
+    void write(const std::string& stream, const std::string& version, core::Duration resumable, core::TimePoint now);
+    /// \brief Reads the version that began the stream; empty if there is no row or the store does not respond.
+    void read(const std::string& stream, const std::function<void(const std::optional<std::string>&)>& done);
+    /// \brief Expiry of a row in milliseconds of the store's clock; empty if the row cannot be decoded.
+    [[nodiscard]] static std::optional<std::uint64_t> keptUntilMs(const Row& row);
+
+private:
+    RowStore& store;
+    StoreHealth& storeHealth;
+    RowExpiry& rowExpiry;
+    std::size_t nodeCount = 1;
+    /// \brief Writes that this node may make at once.
+    double permits = 0;
+    core::TimePoint permitsUpdatedAt {};
+};
+
+/// \brief Writes per second of all nodes together; a quarter of the write rate of the smallest store.
+inline constexpr double maxStreamRowsPerSecond = 200;
+
+} // namespace lagoontiller::gateway
--- a/tests/GatewayStreamVersionTests.cpp
+++ b/tests/GatewayStreamVersionTests.cpp
@@ -1,6 +1,7 @@
 // Streams that are resumed while endpoints of several software versions serve, on real sockets: all events come from
 // the version that began the stream.
 
+#include "proto/gateway.pb.h"
 #include "support/GatewayWorld.h"
 
 #include <gtest/gtest.h>
@@ -50,6 +51,17 @@
     return "Last-Event-Id: 2\r\nResumes: " + stream + "\r\n";
 }
 
+void listVersions(GatewayWorld& world, const std::vector<std::pair<std::string, std::uint64_t>>& versions)
+{
+    gateway::wire::ServiceVersionsRecord record;
+    for (const auto& [version, goneAtMs] : versions) {
+        auto* const added = record.add_versions();
+        added->set_version(version);
+        added->set_gone_at_ms(goneAtMs);
+    }
+    world.store.put({ gateway::ServiceVersions::table, "", "s" }, record.SerializeAsString());
+}
+
 } // namespace
 
 // Guards against one response that joins events of two software versions.
@@ -100,4 +112,84 @@
     }
 }
 
+struct ResumptionCase {
+    std::string name;
+    /// \brief Versions in the row of the service, with the time at which they left.
+    std::vector<std::pair<std::string, std::uint64_t>> listed;
+    std::vector<std::string> inService;
+    int status = 200;
+};
+
+void PrintTo(const ResumptionCase& resumption, std::ostream* stream)
+{
+    *stream << resumption.name;
+}
+
+class ResumptionOfAnUnknownStream : public testing::TestWithParam<ResumptionCase> { };
+
+// Guards against joined versions when all nodes lost their memory and callers resume streams from before: the version
+// that began the stream may be any that was in service then.
+TEST_P(ResumptionOfAnUnknownStream, GoesOnOnlyIfOneVersionCanHaveBegunIt)
+{
+    GatewayWorld world;
+    world.store.now = 100'000;
+    listVersions(world, GetParam().listed);
+    std::vector<std::unique_ptr<ScriptedEndpoint>> endpoints;
+    std::vector<ScriptedEndpoint*> pointers;
+    for (const auto& version : GetParam().inService) {
+        endpoints.push_back(
+            std::make_unique<ScriptedEndpoint>(world.context, std::vector<Answer> { brokenStream(version) }));
+        pointers.push_back(endpoints.back().get());
+    }
+    world.serve(resumableRoute(), pointers, GetParam().inService);
+    const auto seen = world.ask("b", resumption("lost"));
+    EXPECT_EQ(seen->status, GetParam().status);
+    std::size_t requests = 0;
+    for (const auto& endpoint : endpoints)
+        requests += endpoint->requests.size();
+    EXPECT_EQ(requests, seen->status == 200 ? 1U : 0U);
+    EXPECT_EQ(contains(*seen, GetParam().inService.front()), seen->status == 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, ResumptionOfAnUnknownStream,
+    testing::Values(ResumptionCase { "OnlyVersion", { { "v1", 0 } }, { "v1", "v1" }, 200 },
+        ResumptionCase { "TwoVersions", { { "v1", 0 }, { "v2", 0 } }, { "v1", "v2" }, 503 },
+        // No stream begins at a version before it is listed.
+        ResumptionCase { "NewVersionInViewOnly", { { "v1", 0 } }, { "v1", "v2" }, 200 },
+        ResumptionCase { "NothingListed", {}, { "v1" }, 200 },
+        ResumptionCase { "NothingListedAndTwoVersions", {}, { "v1", "v2" }, 503 },
+        ResumptionCase { "OldVersionMissing", { { "v1", 0 }, { "v2", 0 } }, { "v2" }, 503 },
+        ResumptionCase { "OldVersionJustGone", { { "v1", 99'000 }, { "v2", 0 } }, { "v2" }, 503 },
+        ResumptionCase { "OldVersionLongGone", { { "v1", 50'000 }, { "v2", 0 } }, { "v2" }, 200 }),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against refusing streams of a version that still serves when the memory of all nodes is lost.
+TEST(GatewayStreamVersion, AStreamIsResumedAfterTheLossOfAllNodesByItsRow)
+{
+    GatewayWorld before;
+    before.store.now = 100'000;
+    listVersions(before, { { "v1", 0 }, { "v2", 0 } });
+    ScriptedEndpoint first(before.context, { brokenStream("v1", Then::Crash) });
+    before.serve(resumableRoute(), { &first }, { "v1" });
+    ASSERT_TRUE(runUntil(before.context, [&before] { return before.versions.severalInService("s"); }));
+    EXPECT_TRUE(contains(*before.ask("a"), "v1"));
+    const auto isWritten = [&before] {
+        return std::any_of(before.store.rows.begin(), before.store.rows.end(),
+            [](const auto& row) { return row.first.table == gateway::StreamVersionRows::table; });
+    };
+    ASSERT_TRUE(runUntil(before.context, isWritten));
+
+    GatewayWorld after;
+    after.store.now = 101'000;
+    for (const auto& [key, row] : before.store.rows)
+        after.store.put(key, row.value);
+    ScriptedEndpoint second(after.context, { brokenStream("v2") });
+    ScriptedEndpoint third(after.context, { brokenStream("v1") });
+    after.serve(resumableRoute(), { &second, &third }, { "v2", "v1" });
+    const auto resumed = after.ask("b", resumption("a"));
+    EXPECT_EQ(resumed->status, 200);
+    EXPECT_TRUE(contains(*resumed, "v1"));
+    EXPECT_TRUE(second.requests.empty());
+}
+
 } // namespace lagoontiller::tests
--- a/tests/support/GatewayWorld.h
+++ b/tests/support/GatewayWorld.h
@@ -23,6 +23,8 @@
         , expiry(this->observed, this->contact)
         , budgets(this->context, this->observed, this->contact, this->expiry, "node:1")
         , histories(this->observed, this->contact, this->expiry, 1U << 20U, 49'152)
+        , versions(this->observed, this->contact)
+        , streamRows(this->observed, this->contact, this->expiry)
         , directory({})
         , endpointPool(this->context)
         , callerPool(this->context)
@@ -40,7 +42,7 @@
         , peers({ this->peerLink, this->peerServer, this->budgets, this->histories, this->roster, this->relayServer })
         , losses(this->context, this->endpointPool, this->observed, this->contact, this->expiry)
         , gateway({ this->context, this->callers, this->endpointPool, this->directory, this->histories, this->peers,
-                      this->losses, this->contact, this->metrics },
+                      this->losses, this->contact, this->versions, this->streamRows, this->metrics },
               { "z", "r", { { "z", "r" } }, 1 }, 1)
     {
         if (!this->callers.listen("127.0.0.1", 0).empty())
@@ -109,6 +111,8 @@
     gateway::RowExpiry expiry;
     gateway::TokenBudgets budgets;
     gateway::TurnStore histories;
+    gateway::ServiceVersions versions;
+    gateway::StreamVersionRows streamRows;
     gateway::EndpointDirectory directory;
     transport::ClientPool endpointPool;
     transport::ClientPool callerPool;
@@ -130,6 +134,7 @@
         this->timer.async_wait([this](asio::error_code error) {
             if (error)
                 return;
+            this->gateway.updateServiceVersions(core::monotonicNow());
             this->gateway.tick(core::monotonicNow());
             this->tick();
         });
