End a begun stream when the next endpoint answers with no stream

Cause: only failures ended a begun stream; such a success was forwarded as a whole response on the same connection. Change: a begun stream is continued by an event stream only. Measured: ResumedWithError/SuccessThatIsNoStream and /SuccessWithoutBody failed before; RepeatedRefusal (an earlier refusal once more on a kept connection) passed before.

--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -141,7 +141,7 @@
         this->attemptFailed(flow, policy::FailureKind::ServerError, "stream_cut_inside_event", now);
         return;
     }
-    if (!success && flow.responseStarted) {
+    if (flow.responseStarted && !(success && answer.eventStream)) {
         this->attemptFailed(flow, policy::FailureKind::ServerError, "resume_refused", now);
         return;
     }
--- a/tests/GatewayLyingEndpointTests.cpp
+++ b/tests/GatewayLyingEndpointTests.cpp
@@ -141,6 +141,112 @@
     EXPECT_EQ(world.ask("b")->status, 502);
 }
 
+namespace {
+
+struct RepeatedRefusalCase {
+    std::string name;
+    /// \brief What the endpoint writes in response to the second call.
+    Answer second;
+    int status = 502;
+};
+
+void PrintTo(const RepeatedRefusalCase& repeated, std::ostream* stream)
+{
+    *stream << repeated.name;
+}
+
+class RepeatedRefusal : public testing::TestWithParam<RepeatedRefusalCase> { };
+
+const std::string refusalHead = "X-Not-Executed: 1\r\n";
+const std::string refusal = wholeAnswer("a", 503, "full", refusalHead);
+const std::string refusalWithoutId = "HTTP/1.1 503 X\r\n" + refusalHead + "Content-Length: 4\r\n\r\nfull";
+const std::string secondAnswer = wholeAnswer("b", 200, "second", signatureLine);
+
+} // namespace
+
+// Guards against an earlier refusal that an endpoint writes once more on a kept connection, and that is taken for the
+// answer to a call that it executes: the caller would be told that it was not executed, or it would run twice.
+TEST_P(RepeatedRefusal, IsNotTheAnswerToTheNextCall)
+{
+    GatewayWorld world;
+    ScriptedEndpoint endpoint(world.context, { { refusal }, GetParam().second });
+    ScriptedEndpoint other(world.context, { { wholeAnswer("{id}", 200, "other", signatureLine) } });
+    auto route = routeOf(CallKind::NonIdempotent);
+    route.timeout = std::chrono::seconds(1);
+    world.serve(route, { &endpoint });
+    EXPECT_EQ(world.ask("a")->status, 503);
+    world.directory.upsert({ "i-2", "s", other.address(), "elsewhere", 4, false, 0 }, core::monotonicNow());
+    (void)runUntil(
+        world.context, [] { return false; }, milliseconds(150));
+    const auto seen = world.ask("b");
+    EXPECT_EQ(seen->status, GetParam().status);
+    EXPECT_EQ(seen->body, GetParam().status == 200 ? "second" : "");
+    EXPECT_EQ(endpoint.connections, 1) << "the connection was not reused";
+    EXPECT_TRUE(other.requests.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, RepeatedRefusal,
+    testing::Values(RepeatedRefusalCase { "BeforeTheAnswer", { refusal + secondAnswer }, 200 },
+        RepeatedRefusalCase { "WhileTheCallRuns", { refusal, Then::Silent }, 504 },
+        RepeatedRefusalCase { "ThenTheEndOfTheConnection", { refusal, Then::Close }, 502 },
+        RepeatedRefusalCase { "WithoutAnId", { refusalWithoutId + secondAnswer }, 502 },
+        RepeatedRefusalCase { "WithoutAnIdWhileTheCallRuns", { refusalWithoutId, Then::Silent }, 502 }),
+    [](const auto& info) { return info.param.name; });
+
+namespace {
+
+struct ResumedWithErrorCase {
+    std::string name;
+    /// \brief What the next endpoint writes.
+    Answer next;
+};
+
+void PrintTo(const ResumedWithErrorCase& resumed, std::ostream* stream)
+{
+    *stream << resumed.name;
+}
+
+class ResumedWithError : public testing::TestWithParam<ResumedWithErrorCase> { };
+
+Answer errorAnswer(int status, const std::string& head)
+{
+    return { wholeAnswer("a", status, status == 204 ? "" : "data: ERROR\n\n", head) };
+}
+
+const std::string eventType = "Content-Type: text/event-stream\r\n";
+
+} // namespace
+
+// Guards against a stream that broke off and in which the caller finds the error of the next endpoint, or which that
+// error ends as if it were complete.
+TEST_P(ResumedWithError, DoesNotReachTheCaller)
+{
+    GatewayWorld world;
+    const auto begun = streamHead("a") + event(1, "x") + event(2, "x");
+    ScriptedEndpoint endpoint(world.context, { { begun, Then::Crash } });
+    ScriptedEndpoint next(world.context, { GetParam().next });
+    world.serve(routeOf(CallKind::Streaming, true), { &endpoint });
+    const auto seen = world.call("a");
+    ASSERT_TRUE(runUntil(world.context, [&endpoint] { return !endpoint.requests.empty(); }));
+    world.directory.upsert({ "i-2", "s", next.address(), "z", 4, false, 0 }, core::monotonicNow());
+    ASSERT_TRUE(runUntil(world.context, [&seen] { return seen->end.has_value(); }));
+    EXPECT_EQ(next.requests.size(), 1U);
+    EXPECT_EQ(seen->status, 200);
+    // Bytes that are no part of the stream would end the exchange as malformed.
+    EXPECT_EQ(*seen->end, transport::ExchangeEnd::Broken);
+    EXPECT_EQ(seen->body, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, ResumedWithError,
+    testing::Values(ResumedWithErrorCase { "ServerError", errorAnswer(500, signatureLine) },
+        ResumedWithErrorCase { "ServerErrorAsEvents", errorAnswer(500, signatureLine + eventType) },
+        ResumedWithErrorCase { "Refusal", errorAnswer(503, refusalHead) },
+        ResumedWithErrorCase { "SuccessThatIsNoStream", errorAnswer(200, signatureLine) },
+        ResumedWithErrorCase { "SuccessWithoutBody", errorAnswer(204, signatureLine) },
+        ResumedWithErrorCase { "StreamWithoutProof", errorAnswer(200, eventType) },
+        ResumedWithErrorCase { "NotFound", errorAnswer(404, signatureLine) }),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against a complete stream whose endpoint broke off, whatever marks the end of its body.
 TEST(GatewayLyingEndpoint, AStreamThatIsResetDoesNotLookComplete)
 {
