--- a/soak/callers.py
+++ b/soak/callers.py
@@ -29,6 +29,7 @@
     retry_after: float = 0.0
     output: str = ""
     id: str = ""
+    request: Request = None
 
 
 class Caller:
@@ -81,7 +82,8 @@
 
     # One attempt.
 
-    async def attempt(self, route, body, expected_body, fields, remaining_s, new_connection):
+    async def attempt(self, route, body, expected_body, fields, remaining_s, new_connection, broken=None):
+        """Sends one request; `broken` is the id of a stream and the last request for it, which this one resumes."""
         self.attempt_count += 1
         id = f"{self.name}-{self.attempt_count}"
         try:
@@ -92,9 +94,13 @@
         target = f"/{route}/work"
         request = Request(id, KINDS[route], route, target, expected_body, node.name, node.incarnation, time.monotonic(),
                           route == "brief", MAX_ENDPOINTS)
+        if broken:
+            stream, last = broken
+            request.last_event_sent, request.version = last.last_event_sent, last.version
+            fields = fields | {"Last-Event-Id": last.last_event_sent, "Resumes": stream}
         self.rules.record_request(request)
         head = {"Host": HOST, "X-Request-Id": id, "X-Deadline-Ms": int(remaining_s * 1000)} | fields
-        outcome = Outcome(id=id)
+        outcome = Outcome(id=id, request=request)
         try:
             writer.write(http.request_bytes(method, target, head, body))
             await asyncio.wait_for(self.receive(request, reader, outcome), remaining_s)
@@ -162,11 +168,15 @@
     async def send_with_retries(self, route, body, expected_body, fields):
         end = time.monotonic() + DEADLINE_S[route]
         outcome = Outcome()
+        broken = None
         for retry in range(2):
             remaining_s = end - time.monotonic()
             if remaining_s <= 0.1:
                 break
-            outcome = await self.attempt(route, body, expected_body, fields, remaining_s, retry > 0)
+            outcome = await self.attempt(route, body, expected_body, fields, remaining_s, retry > 0, broken)
+            if self.is_broken_stream(route, outcome):
+                broken = (outcome.id, outcome.request)
+                continue
             not_executed = outcome.status in (429, 503) or (outcome.status == 0 and not outcome.id)
             if outcome.status in (200, 400, 402, 404) or not (not_executed or KINDS[route] == "idempotent"):
                 break
@@ -176,6 +186,11 @@
         self.soak.record_outcome(route, outcome)
         return outcome
 
+    @staticmethod
+    def is_broken_stream(route, outcome):
+        return (route == "brief" and outcome.status == 200 and not outcome.complete
+                and 0 < outcome.request.last_event_sent < EVENTS_PER_STREAM)
+
     async def run_turn(self, program, chain, new_input, budget):
         """Sends one turn of a conversation, up to three times; returns the last outcome."""
         history = "".join(turn_input + output for _, turn_input, output in chain)
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -30,7 +30,7 @@
     `fault`: none, lost (sometimes resets the connection during or after the execution), slow, hang or full.
     """
 
-    def __init__(self, rules, store, random, name, service, zone, engine):
+    def __init__(self, rules, store, random, name, service, zone, engine, version):
         self.rules = rules
         self.store = store
         self.random = random
@@ -38,6 +38,8 @@
         self.service = service
         self.zone = zone
         self.engine = engine
+        self.version = version
+        self.limit_per_s = None
         self.fault = "none"
         self.state = "ready"
         self.up = False
@@ -71,7 +73,7 @@
                 self.seq += 1
                 self.store.put_json("servers", self.name, {
                     "id": self.name, "service": self.service, "address": self.link.address, "zone": self.zone,
-                    "version": "1", "slots": SLOTS, "state": self.state, "coldLeftMs": 0, "seq": self.seq,
+                    "version": self.version, "slots": SLOTS, "state": self.state, "coldLeftMs": 0, "seq": self.seq,
                     "born": self.started_unix_ms})
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
@@ -95,8 +97,9 @@
         if request.fields.get("x-target-instance", self.name) != self.name:
             writer.write(http.response_bytes(421, {"X-Request-Id": id, "X-Not-Executed": 1}))
             return
+        self.rules.record_arrival(id, self.name, self.limit_per_s)
         if self.running >= SLOTS or self.fault == "full":
-            writer.write(http.response_bytes(503, {"X-Request-Id": id, "X-Not-Executed": 1}))
+            writer.write(http.response_bytes(503, {"X-Request-Id": id, "X-Not-Executed": 1} | self.limit_field()))
             return
         self.running += 1
         try:
@@ -104,14 +107,18 @@
         finally:
             self.running -= 1
 
+    def limit_field(self):
+        return {} if self.limit_per_s is None else {"Server-Limit": self.limit_per_s}
+
     async def run(self, request, id, writer):
         last = int(request.fields.get("last-event-id", 0))
-        self.rules.record_execution(id, self.name, self.service, request.line[1], request.body, last)
+        self.rules.record_execution(id, self.name, self.service, request.line[1], request.body, last,
+                                    self.version)
         slowdown = 8 if self.fault == "slow" else 1
         if self.fault == "hang":
             await asyncio.sleep(10)
         lost = self.fault == "lost" and self.random.random() < 0.3
-        head = {"X-Request-Id": id, "X-Response-Signature": f"{self.name}.{id}"}
+        head = {"X-Request-Id": id, "X-Response-Signature": f"{self.name}.{id}"} | self.limit_field()
         if not self.engine:
             await asyncio.sleep(PLAIN_DURATION_S * slowdown)
             if lost:
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -3,6 +3,9 @@
 import time
 from dataclasses import dataclass, field
 
+LIMIT_WINDOW_S = 4.0
+LIMIT_CONTACT_S = 4.0
+LIMIT_KNOWN_AFTER_S = 0.5
 NOT_RUN = {402, 408, 421, 429, 503}
 
 
@@ -22,6 +25,7 @@
     max_endpoints: int = 2
     runs: list = field(default_factory=list)
     last_event_sent: int = 0
+    version: str = ""  # of the endpoint that began the stream
     status: int = 0
     refused_at: float = 0.0
 
@@ -38,6 +42,7 @@
         self.moves = []
         self.last_service = {}
         self.tokens = {}
+        self.limits = {}
         self.runs = 0
         self.answers = 0
 
@@ -49,7 +54,20 @@
 
     # Observations of endpoints.
 
-    def record_execution(self, id, endpoint, service, target, body, last_event):
+    def record_arrival(self, id, endpoint, limit_per_s):
+        """Counts the requests that an endpoint with a rate limit gets from nodes that know the limit."""
+        if limit_per_s is None or id not in self.requests:
+            return
+        now = time.monotonic()
+        limited_at, known_at, arrivals = self.limits.setdefault(endpoint, (now, {}, []))
+        node = self.requests[id].node
+        if now >= known_at.setdefault(node, now + LIMIT_KNOWN_AFTER_S):
+            arrivals.append(now)
+        count = sum(at > now - LIMIT_WINDOW_S for at in arrivals)
+        if now > limited_at + LIMIT_CONTACT_S + LIMIT_WINDOW_S and count > 1.5 * limit_per_s * LIMIT_WINDOW_S + 5:
+            self.report_violation("LIMIT", f"{endpoint} got {count} requests in {LIMIT_WINDOW_S} s, limit {limit_per_s} a second")
+
+    def record_execution(self, id, endpoint, service, target, body, last_event, version):
         """Records that an endpoint starts to execute a request, and checks that it may."""
         self.runs += 1
         request = self.requests.get(id)
@@ -62,6 +80,9 @@
             self.report_violation(
                 "UNASKED", f"{id} ran with another body ({len(body)} of {len(request.expected_body)} bytes)")
         resumed = request.resumable and last_event > 0
+        if resumed and request.version != version:
+            self.report_violation("ORDER", f"{id} was begun by version {request.version} and went on at {version}")
+        request.version = version
         repeatable = request.kind == "idempotent" or resumed
         if request.runs and not repeatable and not (request.resumable and request.last_event_sent == 0):
             self.report_violation("TWICE", f"{id} ran at {request.runs[0][0]} and {endpoint}")
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -63,7 +63,8 @@
             for index in range(count):
                 number += 1
                 zone = list(ZONES)[index % len(ZONES)]
-                endpoint = Endpoint(self.rules, self.store, self.random, f"e{number}", service, zone, engine)
+                version = str(1 + index // len(ZONES))
+                endpoint = Endpoint(self.rules, self.store, self.random, f"e{number}", service, zone, engine, version)
                 self.endpoints.append(endpoint)
                 await endpoint.start(self.ip(100 + number), 7301)
         for index in range(self.node_count):
@@ -243,6 +244,7 @@
             self.spawn(self.apply_step(step))
         await asyncio.sleep(max(0, faults_end_s - self.elapsed()))
         await asyncio.gather(*(node.kill() for node in self.nodes))
+        self.endpoints[0].limit_per_s = 1.0
         await asyncio.sleep(plan.RECOVERY_S)
         await self.continue_conversations()
         await asyncio.gather(*caller_tasks)
