--- a/source/gateway/PeerService.cpp
+++ b/source/gateway/PeerService.cpp
@@ -239,6 +239,7 @@
     std::sort(scored.begin(), scored.end(), std::greater<>());
     scored.resize(std::min(scored.size(), count));
     std::vector<std::string> holders;
+    holders.reserve(scored.size());
     for (auto& [score, address] : scored)
         holders.push_back(std::move(address));
     return holders;
