--- /dev/null
+++ b/tests/ServiceVersionsTests.cpp
@@ -0,0 +1,52 @@
+// Which software versions of a service count as in service, by the rows that all nodes share.
+
+#include "gateway/ServiceVersions.h"
+#include "support/FakeRowStore.h"
+
+#include <gtest/gtest.h>
+
+namespace lagoontiller::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+struct MissingCase {
+    std::string name;
+    milliseconds missingFor {};
+    std::set<std::string> listed;
+};
+
+void PrintTo(const MissingCase& missing, std::ostream* stream)
+{
+    *stream << missing.name;
+}
+
+class MissingVersion : public testing::TestWithParam<MissingCase> { };
+
+} // namespace
+
+// Guards against a version that counts as gone while its endpoints are missing for a short time only.
+TEST_P(MissingVersion, IsGoneAfterAWhile)
+{
+    asio::io_context context;
+    FakeRowStore store(context);
+    gateway::StoreHealth storeHealth;
+    gateway::ServiceVersions versions(store, storeHealth);
+    versions.update("s", { "v1", "v2" }, core::monotonicNow() - milliseconds(20'000));
+    ASSERT_TRUE(runUntil(context, [&versions] { return versions.listed("s").size() == 2; }));
+    const auto now = core::monotonicNow();
+    versions.update("s", { "v2" }, now - GetParam().missingFor);
+    versions.update("s", { "v2" }, now);
+    (void)runUntil(
+        context, [] { return false; }, milliseconds(50));
+    EXPECT_EQ(versions.listed("s"), GetParam().listed);
+    EXPECT_EQ(store.writes, GetParam().listed.size() == 2 ? 1 : 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, MissingVersion,
+    testing::Values(MissingCase { "Shortly", milliseconds(9'000), { "v1", "v2" } },
+        MissingCase { "ForTenSeconds", milliseconds(10'000), { "v2" } }),
+    [](const auto& info) { return info.param.name; });
+
+} // namespace lagoontiller::tests
