--- a/review/2/case.py
+++ b/review/2/case.py
@@ -33,8 +33,11 @@
     reader, writer = await asyncio.open_connection(node.ip, system.PORTS["directory"])
     writer.write(wire.request("GET", f"/v1/lookup?name={client.HOST}&region={system.ZONES[zone]}&zone={zone}",
                               {"Host": client.HOST}))
-    answer = json.loads((await wire.read_message(reader)).body)
+    message = await wire.read_message(reader)
     wire.reset(writer)
+    if message is None or message.status != 200:
+        raise wire.Lost("no answer")
+    answer = json.loads(message.body)
     return answer["addresses"], min(answer["ttlS"], system.BOUNDS["ttl_max_s"])
 
 
@@ -61,12 +64,13 @@
 
     async def ask(zone):
         """Looks up at one machine after the other, as clients do."""
-        for node in random.sample(machines, len(machines)):
-            try:
-                return await asyncio.wait_for(look_up(node, zone), 1)
-            except (OSError, asyncio.TimeoutError, wire.Lost, AttributeError):
-                continue
-        raise cases.Unable("no machine answers a lookup")
+        while True:
+            for node in random.sample(machines, len(machines)):
+                try:
+                    return await asyncio.wait_for(look_up(node, zone), 1)
+                except (OSError, asyncio.TimeoutError, wire.Lost):
+                    continue
+            await asyncio.sleep(0.1)
 
     class Client:
         """Keeps one entry answer for all of its programs."""
--- a/review/harness/case.py
+++ b/review/harness/case.py
@@ -79,6 +79,9 @@
         print("build the deploy file first")
         sys.exit(2)
 
+    # Connections of the stand-ins that are still open at the end need no message.
+    sys.unraisablehook = lambda unraisable: None
+
     async def run():
         case = Case(name)
         client.note = case.note
