--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,14 +15,14 @@
 WORKERS = 14
 CRASHED = 2
 DOWN_S = 4.0
-CLIENTS = 100
-TURN_S = 0.4
+CLIENTS = 80
+TURN_S = 1.5
 TURNS = 9
 REPLY = b"yes, please\n"
-REPLY_SHARE = 0.5
+REPLY_SHARE = 0.6
 # 2.4 times the time on idle workers, a pause of half a second a turn included, and the objective.
 AIM_S = 2.4 * TURNS * (TURN_S + 0.5) + 0.3
-END_S = 26.0
+END_S = 28.0
 
 
 async def body(case):
