A stopping node takes only calls that can end before it does

Callers kept an entry response for three times its validity and connected to a node up to 6 s after its SIGTERM.

Cause: the times at which a stopping node stops accepting and ends its calls were fixed; neither was compared with a call's deadline. Change: StopSchedule holds the course of the stop. A call whose deadline lies beyond the end of the calls is refused as not run, at once and without a time to return, as other nodes serve it. Failed before: with the check in Gateway::admit taken out, CallAtStoppingNode fails for NonIdempotent, Idempotent and Stream.

--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/RetrySchedule.h"
 #include "gateway/RouteTable.h"
 #include "gateway/ServiceVersions.h"
+#include "gateway/StopSchedule.h"
 #include "gateway/StreamVersionRows.h"
 
 namespace lagoontiller::gateway {
@@ -60,6 +61,8 @@
     /// \brief Follows which software versions the services with resumable streams have; call periodically.
     void updateServiceVersions(core::TimePoint now);
 
+    /// \brief From now on refuses calls that the schedule does not admit.
+    void startDraining(const StopSchedule& schedule) { this->stopSchedule = schedule; }
     /// \brief Ends all calls in progress, as if their deadline had passed.
     void endAll();
 
@@ -146,6 +149,7 @@
     NodeLocation location;
     policy::Random random;
     std::shared_ptr<const Configuration> configuration;
+    std::optional<StopSchedule> stopSchedule;
     RouteTable routes;
     std::unordered_map<std::string, std::shared_ptr<const Service>> services;
     /// \brief Services of resumable routes, and whether several software versions of them were in service last.
--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -120,6 +120,11 @@
     flow.service = service->second;
     const auto time = std::min(flow.call.deadline.value_or(flow.route->timeout), flow.route->timeout);
     flow.deadline = now + time;
+    if (this->stopSchedule && !this->stopSchedule->admits(flow.deadline)) {
+        // Other nodes serve the caller at once.
+        this->respond(id, { 503, core::ResultCode::NodeDraining, "node_stopping", {} });
+        return;
+    }
     flow.lastEvent = flow.call.lastEvent;
     if (flow.route->keepsHistory && flow.call.previousTurn.empty() && !this->admitsNewProgram(flow, now)) {
         this->refuseNewProgram(id);
--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -26,12 +26,6 @@
 /// \brief Maximum time for which callers cache an entry answer; short, so that a stopped node is left out soon.
 constexpr core::Duration maxEntryValidity = std::chrono::milliseconds(2'000);
 constexpr std::size_t maxEntryAddresses = 64;
-/// \brief Minimum time for which the node accepts calls after SIGTERM: callers with a cached entry answer still connect
-/// to it.
-constexpr core::Duration minStopDuration = std::chrono::milliseconds(3'000);
-/// \brief Time before the forced kill at which this process ends the remaining calls itself.
-constexpr core::Duration forcedStopReserve = std::chrono::milliseconds(400);
-constexpr core::Duration stopAcceptingLead = std::chrono::milliseconds(1'500);
 /// \brief Maximum size of the settings file; the rest is ignored.
 constexpr std::size_t maxSettingsBytes = 1U << 20U;
 
@@ -214,7 +208,7 @@
 
 bool Node::ready() const
 {
-    return this->configured && this->endpointWatch.synchronised() && !this->stopping;
+    return this->configured && this->endpointWatch.synchronised() && !this->stopSchedule;
 }
 
 void Node::updateReady()
@@ -286,39 +280,38 @@
 
 void Node::stop()
 {
-    if (this->stopping)
+    if (this->stopSchedule)
         return;
-    this->stopping = true;
     this->stopStartedAt = core::monotonicNow();
+    this->stopSchedule.emplace(this->stopStartedAt, this->settings->stopGrace);
     core::logInfo("node_stopping").with("in_progress", this->gateway.callsInProgress());
     this->updateReady();
     this->callerServer.startDraining();
+    this->gateway.startDraining(*this->stopSchedule);
     this->peerService.startDraining();
 }
 
-void Node::continueStop(core::TimePoint now)
+void Node::continueStop(const StopSchedule& schedule, core::TimePoint now)
 {
-    const auto elapsed = now - this->stopStartedAt;
-    const auto latest = this->settings->stopGrace - forcedStopReserve;
     const bool idle = this->gateway.callsInProgress() == 0;
     this->tokenBudgets.returnUnusedShares();
     if (!this->leaving) {
-        if (elapsed <= latest - stopAcceptingLead && !(idle && elapsed > std::min(minStopDuration, latest)))
+        if (!schedule.mayStopAccepting(idle, now))
             return;
         core::logInfo("node_leaving")
             .with("in_progress", this->gateway.callsInProgress())
-            .with("after_ms", elapsed.count() / 1'000);
+            .with("after_ms", (now - this->stopStartedAt).count() / 1'000);
         this->leaving = true;
         // If the call is lost, the other nodes remove the row.
         this->nodeRegistry.deregister();
         this->callerServer.stopAccepting();
         return;
     }
-    if (elapsed > latest)
+    if (now > schedule.endsAt())
         this->gateway.endAll();
     // Connections with a request or unsent output stay open, so they are complete once none is left.
     this->callerServer.closeIdle();
-    if ((idle && this->callerServer.openConnections() == 0) || elapsed > latest + tickInterval * 2)
+    if ((idle && this->callerServer.openConnections() == 0) || now > schedule.endsAt() + tickInterval * 2)
         this->context.stop();
 }
 
@@ -331,8 +324,8 @@
         const auto now = core::monotonicNow();
         this->gateway.tick(now);
         this->peerService.tick(now);
-        if (this->stopping)
-            this->continueStop(now);
+        if (this->stopSchedule)
+            this->continueStop(*this->stopSchedule, now);
         if (now >= this->nextPeriodicTasksAt)
             this->runPeriodicTasks(now);
         core::flushLogs();
--- a/source/gateway/Node.h
+++ b/source/gateway/Node.h
@@ -33,7 +33,7 @@
     void waitForSignal();
     void reloadSettings();
     void stop();
-    void continueStop(core::TimePoint now);
+    void continueStop(const StopSchedule& schedule, core::TimePoint now);
     void tick();
     void runPeriodicTasks(core::TimePoint now);
     [[nodiscard]] bool ready() const;
@@ -76,9 +76,11 @@
     TableWatch endpointWatch;
     TableWatch lossWatch;
     bool configured = false;
-    bool stopping = false;
-    bool leaving = false;
+    /// \brief Set by SIGTERM.
+    std::optional<StopSchedule> stopSchedule;
     core::TimePoint stopStartedAt {};
+    /// \brief No connections are accepted any more.
+    bool leaving = false;
     core::TimePoint nextPeriodicTasksAt {};
 };
 
--- /dev/null
+++ b/source/gateway/StopSchedule.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/Time.h"
+
+namespace lagoontiller::gateway {
+
+/// \brief Course of a planned stop, from SIGTERM to the end of the process.
+///
+/// Callers use the addresses of an entry response for up to three times its validity, so requests still arrive after
+/// the node has left the entry responses. A call is admitted only if its deadline lies before `endsAt`, when the calls
+/// in progress are ended; the others are refused as not run.
+class StopSchedule {
+public:
+    /// \brief `grace` is the time from SIGTERM to SIGKILL.
+    StopSchedule(core::TimePoint startedAt, core::Duration grace) noexcept;
+
+    /// \brief Whether a call with this deadline ends before the process does.
+    [[nodiscard]] bool admits(core::TimePoint deadline) const noexcept { return deadline <= this->end; }
+    /// \brief Whether the node stops accepting connections; `idle` if it has no call in progress.
+    [[nodiscard]] bool mayStopAccepting(bool idle, core::TimePoint now) const noexcept;
+    /// \brief Time at which the calls in progress are ended; the remaining grace is for their responses.
+    [[nodiscard]] core::TimePoint endsAt() const noexcept { return this->end; }
+    [[nodiscard]] bool operator==(const StopSchedule&) const = default;
+
+private:
+    core::TimePoint startedAt;
+    core::TimePoint end;
+};
+
+} // namespace lagoontiller::gateway
