Judge crashing requests by their caller, and several at once by their return

Cause: one request's evidence counted for or against others. The digest left out caller and history, two losses were enough, and a burst of losses excused each digest that was present at under half of them. No existing test was changed.

--- a/source/gateway/EndpointLossTracker.cpp
+++ b/source/gateway/EndpointLossTracker.cpp
@@ -19,6 +19,7 @@
 policy::PoisonOptions ledgerOptions()
 {
     policy::PoisonOptions result;
+    result.isolatingLosses = 3;
     result.suspicionWindow = rowRetention;
     result.isolationTime = rowRetention;
     return result;
@@ -114,6 +115,11 @@
     return this->ledger.verdict(digest, now) == policy::PoisonVerdict::Isolated;
 }
 
+bool EndpointLossTracker::isIsolatedByNextLoss(const std::string& digest, core::TimePoint now) const
+{
+    return this->ledger.isIsolatedByNextLoss(digest, now);
+}
+
 void EndpointLossTracker::tick(core::TimePoint now)
 {
     this->ledger.tick(now);
--- a/source/gateway/EndpointLossTracker.h
+++ b/source/gateway/EndpointLossTracker.h
@@ -35,6 +35,8 @@
     void callSucceeded(const std::string& digest, core::TimePoint now);
     /// \brief Whether requests with this digest are rejected because they crashed several endpoints.
     [[nodiscard]] bool isIsolated(const std::string& digest, core::TimePoint now) const;
+    /// \brief Whether requests with this digest are rejected after one more loss.
+    [[nodiscard]] bool isIsolatedByNextLoss(const std::string& digest, core::TimePoint now) const;
     void tick(core::TimePoint now);
 
     static constexpr std::string_view table = "losses";
--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -4,6 +4,9 @@
 #include "core/Log.h"
 #include "platform/CallerMessages.h"
 
+#include <algorithm>
+#include <array>
+
 namespace lagoontiller::gateway {
 
 namespace {
@@ -30,6 +33,18 @@
     return route.timeout * 2;
 }
 
+/// \brief Digest of the content and the caller of a request, equal when the caller sends the request again.
+std::string requestDigest(const Call& call)
+{
+    const std::array<const std::string*, 4> identities { &call.program, &call.session, &call.affinity,
+        &call.clientAddress };
+    const auto known
+        = std::find_if(identities.begin(), identities.end(), [](const auto* identity) { return !identity->empty(); });
+    const auto caller = known == identities.end() ? std::string() : **known;
+    return core::digestHex(call.host + "\n" + call.target + "\n" + call.previousTurn + "\n" + call.body) + "/"
+        + core::digestHex(caller);
+}
+
 std::string_view toString(BudgetAnswer answer) noexcept
 {
     switch (answer) {
@@ -106,7 +121,7 @@
         this->respond(id, { 404, core::ResultCode::UnknownPath, "no_route", {} });
         return;
     }
-    flow.requestDigest = core::digestHex(flow.call.host + "\n" + flow.call.target + "\n" + flow.call.body);
+    flow.requestDigest = requestDigest(flow.call);
     if (this->dependencies.lossTracker.isIsolated(flow.requestDigest, now)) {
         this->respond(id, { 503, core::ResultCode::RequestIsolated, "request_isolated", {} });
         return;
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -311,7 +311,10 @@
     flow.attempt.reset();
     this->responseMemory.release(flow.id);
     ++flow.possibleRuns;
-    if (this->mayRetry(flow)) {
+    // The loss of the endpoint is not confirmed yet; if it is, the request must not crash another one.
+    const bool crashesEndpoints = kind == policy::FailureKind::Crashed
+        && this->dependencies.lossTracker.isIsolatedByNextLoss(flow.requestDigest, now);
+    if (this->mayRetry(flow) && !crashesEndpoints) {
         this->dispatch(flow.id, now);
         return;
     }
--- a/source/gateway/Types.h
+++ b/source/gateway/Types.h
@@ -135,6 +135,8 @@
     /// \brief Header fields that are forwarded unchanged.
     transport::Fields forwarded;
     std::string body;
+    /// \brief IP address of the caller's connection.
+    std::string clientAddress {};
 
     [[nodiscard]] std::string_view path() const noexcept
     {
--- a/source/policy/PoisonDetector.cpp
+++ b/source/policy/PoisonDetector.cpp
@@ -1,11 +1,27 @@
 #include "policy/PoisonDetector.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace lagoontiller::policy {
 
 namespace {
 
+/// \brief Number of losses from which a digest explains the losses at which it was present.
+constexpr std::size_t recurrentLosses = 3;
+constexpr char callerSeparator = '/';
+
+std::string_view contentOf(std::string_view digest)
+{
+    return digest.substr(0, digest.find(callerSeparator));
+}
+
+bool hasCaller(std::string_view digest)
+{
+    return digest.find(callerSeparator) != std::string_view::npos;
+}
+
 void eraseOne(std::multimap<std::string, std::string>& map, const std::string& key, const std::string& value)
 {
     const auto [first, last] = map.equal_range(key);
@@ -40,19 +56,42 @@
 
 void PoisonDetector::succeeded(const std::string& digest, core::TimePoint now)
 {
-    if (this->verdict(digest, now) == PoisonVerdict::Suspect) {
+    if (hasCaller(digest)) {
+        this->recordSuccess(contentOf(digest), now);
+    }
+    const auto entry = this->digests.find(digest);
+    if (entry != this->digests.end() && this->verdict(digest, now) == PoisonVerdict::Suspect) {
         this->dropDigest(digest);
     }
 }
 
+void PoisonDetector::recordSuccess(std::string_view content, core::TimePoint now)
+{
+    if (this->recentSuccesses.contains(content)) {
+        return;
+    }
+    if (this->recentSuccesses.size() >= this->options.maxDigests
+        || now - this->successesSince >= this->options.suspicionWindow) {
+        this->earlierSuccesses = std::exchange(this->recentSuccesses, {});
+        this->successesSince = now;
+    }
+    this->recentSuccesses.emplace(content);
+}
+
 PoisonVerdict PoisonDetector::verdict(const std::string& digest, core::TimePoint now) const
 {
-    const auto entry = this->digests.find(digest);
-    if (entry == this->digests.end()) {
-        return PoisonVerdict::Clear;
+    if (this->isContentIsolated(digest, now)) {
+        return PoisonVerdict::Isolated;
     }
-    const core::Duration age = now - entry->second.losses.rbegin()->first;
-    if (age < this->options.isolationTime && this->isolated(digest, entry->second)) {
+    const auto entry = this->digests.find(digest);
+    return entry == this->digests.end() ? PoisonVerdict::Clear : this->callerVerdict(digest, entry->second, now);
+}
+
+PoisonVerdict PoisonDetector::callerVerdict(
+    const std::string& digest, const DigestEntry& entry, core::TimePoint now) const
+{
+    const core::Duration age = now - entry.losses.rbegin()->first;
+    if (age < this->options.isolationTime && this->isolated(digest, entry)) {
         return PoisonVerdict::Isolated;
     }
     return age < this->options.suspicionWindow ? PoisonVerdict::Suspect : PoisonVerdict::Clear;
@@ -90,7 +129,7 @@
     }
     std::vector<std::string> expired;
     for (const auto& [digest, entry] : this->digests) {
-        if (this->verdict(digest, now) == PoisonVerdict::Clear) {
+        if (this->callerVerdict(digest, entry, now) == PoisonVerdict::Clear) {
             expired.push_back(digest);
         }
     }
@@ -181,12 +220,20 @@
     return { entry.losses.size(), static_cast<std::size_t>(count) };
 }
 
-bool PoisonDetector::explainedByOther(const std::string& digest, const LossKey& loss) const
+bool PoisonDetector::explainedByOther(const std::string& digest, const LossKey& loss, std::string_view content) const
 {
     const auto own = this->lossCounts(digest);
     const auto& present = this->losses.at(loss);
-    return std::any_of(present.begin(), present.end(),
-        [&](const std::string& other) { return other != digest && this->lossCounts(other) > own; });
+    return std::any_of(present.begin(), present.end(), [&](const std::string& other) {
+        return other != digest && (content.empty() || contentOf(other) != content) && this->lossCounts(other) > own;
+    });
+}
+
+bool PoisonDetector::hasOtherRecurrentDigest(const std::string& digest, const std::set<std::string>& present) const
+{
+    return std::any_of(present.begin(), present.end(), [&](const std::string& other) {
+        return other != digest && this->digests.at(other).losses.size() >= recurrentLosses;
+    });
 }
 
 bool PoisonDetector::inPlatformFailure(const std::string& digest, const LossKey& loss) const
@@ -195,25 +242,101 @@
     std::size_t withDigest = 0;
     const auto last = this->losses.upper_bound({ loss.first + this->options.burstWindow, "" });
     for (auto each = this->losses.lower_bound({ loss.first - this->options.burstWindow, "" }); each != last; ++each) {
-        total += 1;
-        withDigest += each->second.contains(digest) ? 1 : 0;
+        const bool present = each->second.contains(digest);
+        total += present || !this->hasOtherRecurrentDigest(digest, each->second) ? 1 : 0;
+        withDigest += present ? 1 : 0;
     }
     return total >= this->options.minBurstLosses && withDigest * 2 < total;
 }
 
-bool PoisonDetector::isolated(const std::string& digest, const DigestEntry& entry) const
+std::vector<PoisonDetector::LossKey> PoisonDetector::countedLosses(
+    const std::string& digest, const DigestEntry& entry) const
 {
-    const LossKey* previous = nullptr;
+    std::vector<LossKey> counted;
+    core::TimePoint burstAt {};
+    std::size_t lossesInBurst = 0;
     for (const LossKey& loss : entry.losses) {
-        if (entry.losses.size() < 2 || this->explainedByOther(digest, loss) || this->inPlatformFailure(digest, loss)) {
+        if (this->explainedByOther(digest, loss)) {
+            continue;
+        }
+        if (!this->inPlatformFailure(digest, loss)) {
+            counted.push_back(loss);
             continue;
         }
-        if (previous != nullptr && loss.first - previous->first <= this->options.suspicionWindow) {
-            return true;
+        if (lossesInBurst == 0 || loss.first - burstAt > this->options.burstWindow) {
+            burstAt = loss.first;
+            lossesInBurst = 0;
         }
-        previous = &loss;
+        ++lossesInBurst;
+        if (lossesInBurst > 1 && lossesInBurst <= this->options.isolatingLosses) {
+            counted.push_back(loss);
+        }
+    }
+    return counted;
+}
+
+bool PoisonDetector::isolated(const std::string& digest, const DigestEntry& entry) const
+{
+    if (entry.losses.size() < 2) {
+        return false;
+    }
+    const auto counted = this->countedLosses(digest, entry);
+    std::vector<LossKey> alone;
+    std::copy_if(counted.begin(), counted.end(), std::back_inserter(alone),
+        [this](const LossKey& loss) { return this->losses.at(loss).size() == 1; });
+    const auto areWithinWindow = [this](const std::vector<LossKey>& losses, std::size_t needed) {
+        for (std::size_t last = needed - 1; last < losses.size(); ++last) {
+            if (losses[last].first - losses[last + 1 - needed].first <= this->options.suspicionWindow) {
+                return true;
+            }
+        }
+        return false;
+    };
+    return areWithinWindow(counted, this->options.isolatingLosses) || areWithinWindow(alone, 2);
+}
+
+PoisonDetector::ContentLosses PoisonDetector::contentLosses(const std::string& digest, core::TimePoint now) const
+{
+    ContentLosses result;
+    if (!hasCaller(digest)) {
+        return result;
+    }
+    const auto content = contentOf(digest);
+    if (this->recentSuccesses.contains(content) || this->earlierSuccesses.contains(content)) {
+        return result;
     }
-    return false;
+    const auto prefix = std::string(content) + callerSeparator;
+    const auto first = this->digests.lower_bound(prefix);
+    for (auto each = first; each != this->digests.end() && each->first.starts_with(prefix); ++each) {
+        const auto before = result.losses.size();
+        for (const LossKey& loss : each->second.losses) {
+            if (now - loss.first < this->options.isolationTime && !this->explainedByOther(each->first, loss, content)) {
+                result.losses.insert(loss);
+            }
+        }
+        result.callers += result.losses.size() > before ? 1 : 0;
+    }
+    return result;
+}
+
+bool PoisonDetector::isContentIsolated(const std::string& digest, core::TimePoint now) const
+{
+    if (this->digests.empty()) {
+        return false;
+    }
+    const auto found = this->contentLosses(digest, now);
+    return found.callers > 1 && found.losses.size() >= std::max(this->options.isolatingLosses, recurrentLosses)
+        && found.losses.rbegin()->first - found.losses.begin()->first > this->options.burstWindow;
+}
+
+bool PoisonDetector::isIsolatedByNextLoss(const std::string& digest, core::TimePoint now) const
+{
+    if (this->contentLosses(digest, now).losses.size() >= recurrentLosses) {
+        return true;
+    }
+    const auto entry = this->digests.find(digest);
+    return entry != this->digests.end()
+        && this->countedLosses(digest, entry->second).size() + 1 >= this->options.isolatingLosses;
 }
 
 } // namespace lagoontiller::policy
--- a/source/policy/PoisonDetector.h
+++ b/source/policy/PoisonDetector.h
@@ -6,14 +6,16 @@
 #include <set>
 #include <span>
 #include <string>
-#include <unordered_map>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 namespace lagoontiller::policy {
 
 struct PoisonOptions {
-    /// \brief Time within which two counted losses isolate a digest, and after which a suspicion ends.
+    /// \brief Number of counted losses that isolate a digest; at least 2.
+    std::size_t isolatingLosses = 2;
+    /// \brief Time within which the counted losses isolate a digest, and after which a suspicion ends.
     core::Duration suspicionWindow = std::chrono::minutes(10);
     /// \brief Time since its last loss for which a digest stays isolated.
     core::Duration isolationTime = std::chrono::hours(1);
@@ -48,11 +50,19 @@
 
 /// \brief Detects requests that crash their endpoints (poison requests) by the digest of their content.
 ///
-/// A loss of an endpoint counts against every digest that was running there, whichever caller, attempt or node sent it.
-/// Two counted losses within the suspicion window isolate a digest. A loss does not count against a digest if
-/// - another digest of the same loss explains it: that digest was present at more losses, or at as many losses of which
-///   it was the only digest at more; or
-/// - the loss belongs to a burst (rack or zone failure) and the digest was present at less than half of its losses.
+/// A loss of an endpoint counts against every digest that was running there, whichever attempt or node sent it.
+/// `isolatingLosses` counted losses within the suspicion window isolate a digest, and so do two at which nothing else
+/// was running. A loss does not count against a digest if another digest of the same loss explains it: that digest was
+/// present at more losses, or at as many losses of which it was the only digest at more. If the loss belongs to a burst
+/// (rack or zone failure), all losses of the digest in the burst count for one less than their number, and for less
+/// than an isolation. A burst has at least `minBurstLosses` losses that no other recurrent digest explains, and the
+/// digest was present at less than half of them: requests that crash their endpoints at the same time do not excuse
+/// each other.
+///
+/// A digest is CONTENT/CALLER, or CONTENT alone if callers are not told apart. The losses and successes of one caller
+/// do not decide about another one with the same content. Only if the content was lost with several callers, again
+/// after the first burst, and is not known to have completed for any caller, all callers are refused.
+///
 /// A suspect runs on one endpoint at a time and never beside another suspect, so that a second loss tells the cause
 /// from the other digests of the first loss. A suspect that completes is cleared. The verdict depends only on the known
 /// losses: a late notice that explains a loss also ends a wrong isolation.
@@ -72,6 +82,8 @@
     void succeeded(const std::string& digest, core::TimePoint now);
 
     [[nodiscard]] PoisonVerdict verdict(const std::string& digest, core::TimePoint now) const;
+    /// \brief Whether one more counted loss would isolate the digest.
+    [[nodiscard]] bool isIsolatedByNextLoss(const std::string& digest, core::TimePoint now) const;
     /// \brief Returns whether a request with the digest may be sent to the endpoint now.
     [[nodiscard]] bool mayRun(const std::string& digest, const std::string& endpoint, core::TimePoint now) const;
     /// \brief Records that a request with a suspect digest was sent to the endpoint.
@@ -98,21 +110,43 @@
     void dropLoss(LossMap::iterator loss);
     void dropDigest(const std::string& digest);
     [[nodiscard]] static EvictionKey evictionKey(const std::string& digest, const DigestEntry& entry);
+    /// \brief The verdict that the losses of this caller give.
+    [[nodiscard]] PoisonVerdict callerVerdict(
+        const std::string& digest, const DigestEntry& entry, core::TimePoint now) const;
     /// \brief Returns the number of losses of the digest, and of those at which it was the only digest.
     [[nodiscard]] std::pair<std::size_t, std::size_t> lossCounts(const std::string& digest) const;
-    /// \brief Returns whether another digest of the loss has higher loss counts than `digest`.
-    [[nodiscard]] bool explainedByOther(const std::string& digest, const LossKey& loss) const;
+    /// \brief Returns whether another digest of the loss, of another content if `content` is set, has higher loss
+    /// counts than `digest`.
+    [[nodiscard]] bool explainedByOther(
+        const std::string& digest, const LossKey& loss, std::string_view content = {}) const;
+    /// \brief Returns whether a digest other than `digest` that was present at several losses was present at this one.
+    [[nodiscard]] bool hasOtherRecurrentDigest(const std::string& digest, const std::set<std::string>& present) const;
     /// \brief Returns whether the loss belongs to a burst and the digest was present at less than half of its losses.
     [[nodiscard]] bool inPlatformFailure(const std::string& digest, const LossKey& loss) const;
+    /// \brief Losses that count against the digest, in ascending order.
+    [[nodiscard]] std::vector<LossKey> countedLosses(const std::string& digest, const DigestEntry& entry) const;
     [[nodiscard]] bool isolated(const std::string& digest, const DigestEntry& entry) const;
+    /// \brief Losses with a content that is not known to have completed; empty otherwise.
+    struct ContentLosses {
+        std::set<LossKey> losses;
+        std::size_t callers = 0;
+    };
+    [[nodiscard]] ContentLosses contentLosses(const std::string& digest, core::TimePoint now) const;
+    [[nodiscard]] bool isContentIsolated(const std::string& digest, core::TimePoint now) const;
+    void recordSuccess(std::string_view content, core::TimePoint now);
 
     PoisonOptions options;
     LossMap losses;
-    std::unordered_map<std::string, DigestEntry> digests;
+    /// \brief Ordered, so that the callers of a content are adjacent.
+    std::map<std::string, DigestEntry> digests;
     std::set<EvictionKey> evictionOrder;
     /// \brief Running requests with a suspect digest: endpoints by digest, and digests by endpoint.
     std::multimap<std::string, std::string> suspectsByDigest;
     std::multimap<std::string, std::string> suspectsByEndpoint;
+    /// \brief Contents that completed within the last one to two suspicion windows, in two generations.
+    std::set<std::string, std::less<>> recentSuccesses;
+    std::set<std::string, std::less<>> earlierSuccesses;
+    core::TimePoint successesSince {};
 };
 
 } // namespace lagoontiller::policy
