Release the tokens that dead nodes hold ahead of their turns

Cause: tokens that a node holds ahead return only by its own write. A dead node writes nothing, and a living home returns them only if it knows of another share. Change: each share states the tokens that no turn was granted. Another node releases them if the share's node seems dead, and asks a live one to return them. All such tokens amount to one turn at most, so that the budget and one turn hold also if the node was only frozen or cut off.

--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -55,10 +55,10 @@
     return names;
 }
 
-NodeEntry selfEntry(const settings::GatewaySettings& settings)
+NodeEntry selfEntry(const settings::GatewaySettings& settings, const std::string& incarnation)
 {
     return { settings.nodeName, settings.zone, settings.region, settings.callerAddress.text(),
-        settings.peerAddress.text(), false };
+        settings.peerAddress.text(), false, incarnation };
 }
 
 } // namespace
@@ -74,8 +74,9 @@
     , endpointPool(this->context)
     , platformStore(std::make_unique<platform::StoreClient>(this->storePool, this->settings->storeAddress.text()))
     , directStore(*this->platformStore, this->storeHealth, &this->metrics)
-    , nodeRegistry(
-          this->context, this->directStore, this->storeHealth, selfEntry(*this->settings), zoneNames(*this->settings))
+    , incarnation(core::randomHex(4))
+    , nodeRegistry(this->context, this->directStore, this->storeHealth, selfEntry(*this->settings, this->incarnation),
+          zoneNames(*this->settings))
     , peerPool(this->context)
     , peerClient(this->peerPool)
     , relayServer(this->directStore, this->storeHealth)
@@ -87,7 +88,7 @@
               { StreamVersionRows::table, StreamVersionRows::partCount, StreamVersionRows::keptUntilMs } },
           std::random_device()())
     , tokenBudgets(this->context, this->store, this->storeHealth, this->rowExpiry,
-          this->settings->nodeName + ":" + core::randomHex(4))
+          this->settings->nodeName + ":" + this->incarnation)
     , turnStore(this->store, this->storeHealth, this->rowExpiry, this->settings->memoryBytes / turnCacheMemoryDivisor,
           this->settings->rowBytes * base64DecodedBytes / base64EncodedBytes)
     , serviceVersions(this->store, this->storeHealth)
--- a/source/gateway/Node.h
+++ b/source/gateway/Node.h
@@ -51,6 +51,8 @@
     StoreHealth storeHealth;
     /// \brief Direct access to the store, for table watches and heartbeats.
     ObservedStore directStore;
+    /// \brief Distinguishes this start of the process from others of the same node.
+    std::string incarnation;
     NodeRegistry nodeRegistry;
     transport::ClientPool peerPool;
     PeerClient peerClient;
--- a/source/gateway/NodeRegistry.cpp
+++ b/source/gateway/NodeRegistry.cpp
@@ -53,6 +53,7 @@
     record.set_heartbeat(heartbeat);
     record.set_interval_ms(static_cast<std::uint64_t>(interval.count() / 1'000));
     record.set_written_at_ms(writtenAtMs);
+    record.set_incarnation(entry.incarnation);
     for (const auto& report : rateLimits) {
         if (static_cast<std::size_t>(record.rate_limits_size()) == maxRateLimitReports)
             break;
@@ -278,8 +279,8 @@
     node.interval = std::chrono::milliseconds(record.interval_ms());
     node.interval = std::max<core::Duration>(minHeartbeatInterval, node.interval);
     node.writtenAtMs = record.written_at_ms();
-    node.entry
-        = { record.name(), record.zone(), record.region(), record.address(), record.peer_address(), record.ready() };
+    node.entry = { record.name(), record.zone(), record.region(), record.address(), record.peer_address(),
+        record.ready(), record.incarnation() };
     if (!this->rateLimitReported || row.key.key == this->self.name)
         return;
     for (const auto& each : record.rate_limits()) {
@@ -361,6 +362,25 @@
     return result;
 }
 
+bool NodeRegistry::isAlive(const std::string& name, const std::string& incarnation) const
+{
+    const auto isSame = [&incarnation](const NodeEntry& entry) {
+        return entry.incarnation.empty() || entry.incarnation == incarnation;
+    };
+    if (name == this->self.name)
+        return isSame(this->self);
+    const auto found = this->knownNodes.find(name);
+    if (found == this->knownNodes.end())
+        return this->readAt.size() < this->zones.size();
+    return found->second.alive && isSame(found->second.entry);
+}
+
+std::string NodeRegistry::peerAddress(const std::string& name) const
+{
+    const auto found = this->knownNodes.find(name);
+    return found == this->knownNodes.end() ? std::string() : found->second.entry.peerAddress;
+}
+
 std::size_t NodeRegistry::readyNodesInZone() const
 {
     std::size_t count = this->self.ready ? 1 : 0;
--- a/source/gateway/NodeRegistry.h
+++ b/source/gateway/NodeRegistry.h
@@ -20,6 +20,8 @@
     /// \brief Address for other nodes, IP:port.
     std::string peerAddress;
     bool ready = false;
+    /// \brief Differs for each start of the process; empty if the node does not state it.
+    std::string incarnation {};
     [[nodiscard]] bool operator==(const NodeEntry&) const = default;
 };
 
@@ -67,6 +69,10 @@
     /// \brief Nodes that may send calls to endpoints: live ones, also while they shut down, and for some time those of
     /// this zone that have failed.
     [[nodiscard]] ZoneMembers members(core::TimePoint now) const;
+    /// \brief Whether this start of the node seems to run. False for a node without a row once all zones were read.
+    [[nodiscard]] bool isAlive(const std::string& name, const std::string& incarnation) const;
+    /// \brief Address of the node for other nodes; empty if it is not known.
+    [[nodiscard]] std::string peerAddress(const std::string& name) const;
     /// \brief Rate limits that the next heartbeats report.
     void setRateLimits(std::vector<RateLimitReport> reports) { this->rateLimits = std::move(reports); }
     /// \brief Sets the receiver of the rate limits that other nodes report.
--- a/source/gateway/PeerService.cpp
+++ b/source/gateway/PeerService.cpp
@@ -70,6 +70,23 @@
     , relayServer(dependencies.relayServer)
     , incarnation(core::randomHex(8))
 {
+    this->tokenBudgets.setShareHolders({ [this](const std::string& nodeKey) {
+                                            const auto at = nodeKey.rfind(':');
+                                            return this->nodeRegistry.isAlive(
+                                                nodeKey.substr(0, at), nodeKey.substr(at + 1));
+                                        },
+        [this](const std::string& nodeKey, const std::string& program) { this->askToReturn(nodeKey, program); } });
+}
+
+void PeerService::askToReturn(const std::string& nodeKey, const std::string& program)
+{
+    const auto address = this->nodeRegistry.peerAddress(nodeKey.substr(0, nodeKey.rfind(':')));
+    if (address.empty())
+        return;
+    wire::PeerRequest message;
+    message.mutable_return_tokens()->set_program(program);
+    // If the message is lost, the turn is refused and the next one asks again.
+    this->client.send(address, message, [](const wire::PeerResponse*) {});
 }
 
 std::string PeerService::homeOf(const std::string& program, core::TimePoint now)
@@ -389,6 +406,9 @@
         this->streamVersions.note(note.stream(), note.version(), now + std::chrono::milliseconds(resumable));
         break;
     }
+    case wire::PeerRequest::kReturnTokens:
+        this->tokenBudgets.returnUnusedShare(message.return_tokens().program());
+        break;
     case wire::PeerRequest::kFindStream: {
         wire::PeerResponse response;
         response.set_stream_version(this->streamVersions.find(message.find_stream().stream()).value_or(std::string()));
--- a/source/gateway/PeerService.h
+++ b/source/gateway/PeerService.h
@@ -128,6 +128,7 @@
     void reserveAt(const std::string& home, const std::shared_ptr<ReservationAttempt>& attempt);
     void sendReservation(const std::shared_ptr<ReservationAttempt>& attempt);
     void reserveLocally(const BudgetRequest& request, core::TimePoint now, std::function<void(Reservation)> done);
+    void askToReturn(const std::string& nodeKey, const std::string& program);
     void settleAt(const std::string& peer, const std::string& reservation, std::uint64_t used);
     void serveReserve(transport::ConnectionId connection, const wire::ReserveTokens& reserve, core::TimePoint now);
     void reservationEnded(const std::string& reservation, BudgetAnswer answer);
--- a/source/gateway/TokenBudgets.cpp
+++ b/source/gateway/TokenBudgets.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 /// \brief A share is raised by the tokens of one additional turn, limited to this fraction of the unassigned tokens.
-/// Turns use a quarter of their maximum on average, so an additional turn lasts for several. If a node dies, the
-/// program loses the node's unused tokens, so the fraction must leave room for turns at other nodes.
+/// Turns use a quarter of their maximum on average, so an additional turn lasts for several. The fraction leaves room
+/// for turns at other nodes.
 constexpr std::uint64_t reserveAheadDivisor = 3;
 /// \brief Maximum retries after a call that the store refused as overloaded, and after one without an answer.
 constexpr int maxOverloadRetries = 4;
@@ -26,6 +26,12 @@
 /// \brief Cached programs are dropped this long after the retention of their last turn, when the row has expired too.
 constexpr core::Duration evictionMargin = rowRetentionMargin * 2;
 
+/// \brief The node key in a share id, which is KEY.NUMBER.
+std::string nodeKeyOf(const std::string& shareId)
+{
+    return shareId.substr(0, shareId.rfind('.'));
+}
+
 } // namespace
 
 TokenBudgets::TokenBudgets(asio::io_context& context, RowStore& store, StoreHealth& storeHealth, RowExpiry& rowExpiry,
@@ -45,6 +51,7 @@
     auto& program = this->findOrCreate(request.program);
     program.budget = request.budget;
     program.retention = request.retention;
+    program.turnTokens = request.tokens;
     program.lastUsedAt = now;
     if (program.pending.empty() && program.used + request.tokens <= program.share) {
         program.used += request.tokens;
@@ -115,7 +122,8 @@
     for (const auto& id : renewable) {
         auto& program = this->programs[id];
         program.renewalAttemptedAt = now;
-        this->writeRow(id, program, std::max(program.share, program.used), now);
+        const auto share = std::max(program.share, program.used);
+        this->writeRow(id, program, share, std::min(share - program.used, maxAhead(program)), now);
     }
 }
 
@@ -128,21 +136,33 @@
 {
     std::vector<std::string> idle;
     for (const auto& [id, program] : this->programs) {
-        if (program.turnsInProgress == 0 && !program.callInProgress && program.pending.empty()
-            && program.share > program.used)
+        if (holdsUnusedTokens(program))
             idle.push_back(id);
     }
     for (const auto& id : idle)
         this->lowerShare(id);
 }
 
+void TokenBudgets::returnUnusedShare(const std::string& id)
+{
+    const auto found = this->programs.find(id);
+    if (found != this->programs.end() && holdsUnusedTokens(found->second))
+        this->lowerShare(id);
+}
+
+bool TokenBudgets::holdsUnusedTokens(const Program& program)
+{
+    return program.turnsInProgress == 0 && !program.callInProgress && program.pending.empty()
+        && program.share > program.used;
+}
+
 void TokenBudgets::lowerShare(const std::string& id)
 {
     auto& program = this->programs[id];
     if (program.outcomeUnknown)
         this->readRow(id, program);
     else
-        this->writeRow(id, program, program.used, core::monotonicNow());
+        this->writeRow(id, program, program.used, 0, core::monotonicNow());
 }
 
 void TokenBudgets::grantPending(Program& program)
@@ -182,8 +202,7 @@
         this->readRow(id, program);
         return;
     }
-    const auto totalOthers = sumOtherShares(program);
-    const auto heldByOthers = totalOthers.tokens;
+    const auto heldByOthers = sumOtherShares(program).tokens;
     std::uint64_t wanted = program.used;
     std::uint64_t covered = 0;
     for (const auto& pending : program.pending) {
@@ -197,29 +216,86 @@
             this->readRow(id, program);
             return;
         }
-        // Other nodes return unused shares soon; the budget is exhausted only if it is still insufficient then.
-        if (heldByOthers > 0 && program.pending.front().rechecks < this->options.maxRechecks) {
-            ++program.pending.front().rechecks;
-            program.rowChecked = false;
-            this->processPendingAfter(id, this->options.recheckInterval);
-            return;
-        }
-        const bool spent = totalOthers.used + program.used + program.pending.front().tokens > program.budget;
-        core::logInfo(spent ? "budget_exhausted" : "budget_held")
-            .with("program", id)
-            .with("budget", program.budget)
-            .with("others", heldByOthers)
-            .with("others_used", totalOthers.used)
-            .with("own", program.used)
-            .with("row_version", program.version);
-        this->refusePending(program, spent ? BudgetAnswer::Exhausted : BudgetAnswer::Held);
+        if (this->releaseTokensOfDeadNodes(id, program))
+            this->processPending(id);
+        else
+            this->refuseFirstPending(id, program);
+        return;
+    }
+    const auto ahead = std::min(maxAhead(program), (program.budget - heldByOthers - wanted) / reserveAheadDivisor);
+    this->writeRow(id, program, wanted + ahead, ahead, core::monotonicNow());
+}
+
+void TokenBudgets::refuseFirstPending(const std::string& id, Program& program)
+{
+    // Live nodes return unused tokens soon; the budget is exhausted only if it is still insufficient then.
+    auto& pending = program.pending.front();
+    if (pending.rechecks < this->options.maxRechecks && this->askToReturn(id, program)) {
+        ++pending.rechecks;
+        program.rowChecked = false;
+        this->processPendingAfter(id, this->options.recheckInterval);
         return;
     }
-    wanted += std::min(program.pending.front().tokens, (program.budget - heldByOthers - wanted) / reserveAheadDivisor);
-    this->writeRow(id, program, std::max(wanted, program.used), core::monotonicNow());
+    const auto usedByOthers = this->usedByOthers(program);
+    const bool spent = usedByOthers + program.used + pending.tokens > program.budget;
+    core::logInfo(spent ? "budget_exhausted" : "budget_held")
+        .with("program", id)
+        .with("budget", program.budget)
+        .with("others", sumOtherShares(program).tokens)
+        .with("others_used", usedByOthers)
+        .with("own", program.used)
+        .with("row_version", program.version);
+    this->refusePending(program, spent ? BudgetAnswer::Exhausted : BudgetAnswer::Held);
+}
+
+bool TokenBudgets::releaseTokensOfDeadNodes(const std::string& id, Program& program)
+{
+    bool released = false;
+    for (auto& [node, share] : program.otherShares) {
+        if (share.ahead == 0 || this->isAlive(node))
+            continue;
+        core::logInfo("tokens_released").with("program", id).with("share", node).with("tokens", share.ahead);
+        share.tokens -= std::min(share.ahead, share.tokens);
+        share.released += std::exchange(share.ahead, 0);
+        released = true;
+    }
+    return released;
+}
+
+bool TokenBudgets::askToReturn(const std::string& id, const Program& program)
+{
+    bool held = false;
+    for (const auto& [node, share] : program.otherShares) {
+        if (share.tokens == 0 || !this->isAlive(node))
+            continue;
+        held = true;
+        if (this->holders.askToReturn && program.pending.front().rechecks == 0)
+            this->holders.askToReturn(nodeKeyOf(node), id);
+    }
+    return held;
+}
+
+std::uint64_t TokenBudgets::usedByOthers(const Program& program) const
+{
+    std::uint64_t total = 0;
+    for (const auto& [node, share] : program.otherShares)
+        total += this->isAlive(node) ? share.used : share.tokens;
+    return total;
+}
+
+bool TokenBudgets::isAlive(const std::string& shareId) const
+{
+    return !this->holders.isAlive || this->holders.isAlive(nodeKeyOf(shareId));
+}
+
+std::uint64_t TokenBudgets::maxAhead(const Program& program)
+{
+    const auto others = sumOtherShares(program);
+    return program.turnTokens - std::min(program.turnTokens, others.ahead + others.released);
 }
 
-void TokenBudgets::writeRow(const std::string& id, Program& program, std::uint64_t share, core::TimePoint now)
+void TokenBudgets::writeRow(
+    const std::string& id, Program& program, std::uint64_t share, std::uint64_t ahead, core::TimePoint now)
 {
     wire::BudgetRecord record;
     for (const auto& [node, other] : program.otherShares) {
@@ -227,11 +303,14 @@
         entry->set_node(node);
         entry->set_tokens(other.tokens);
         entry->set_used(other.used);
+        entry->set_ahead(other.ahead);
+        entry->set_released(other.released);
     }
     auto* const own = record.add_shares();
     own->set_node(program.shareId);
     own->set_tokens(share);
     own->set_used(std::min(program.used, share));
+    own->set_ahead(ahead);
     record.set_kept_until_ms(this->storeHealth.storeTimeMs(now)
         + static_cast<std::uint64_t>((program.retention + rowRetentionMargin).count() / 1'000));
     const auto key = this->rowKey(id);
@@ -285,7 +364,7 @@
         program.rowChecked = true;
         // Another node changed the row concurrently; retry the write that returns the unused share.
         if (program.pending.empty() && program.turnsInProgress == 0 && program.share > share) {
-            this->writeRow(id, program, program.used, core::monotonicNow());
+            this->writeRow(id, program, program.used, 0, core::monotonicNow());
             return;
         }
     }
@@ -331,7 +410,7 @@
             if (entry.node() == program.shareId)
                 program.share = entry.tokens();
             else
-                program.otherShares[entry.node()] = { entry.tokens(), entry.used() };
+                program.otherShares[entry.node()] = { entry.tokens(), entry.used(), entry.ahead(), entry.released() };
         }
     }
     capShareByUnconfirmedWrite(program);
@@ -385,6 +464,8 @@
     for (const auto& [node, share] : program.otherShares) {
         total.tokens += share.tokens;
         total.used += share.used;
+        total.ahead += share.ahead;
+        total.released += share.released;
     }
     return total;
 }
--- a/source/gateway/TokenBudgets.h
+++ b/source/gateway/TokenBudgets.h
@@ -41,6 +41,15 @@
     core::Duration hold {};
 };
 
+/// \brief Access to the nodes that hold shares; a node key is NAME:INCARNATION.
+struct ShareHolders {
+    /// \brief Whether the node seems to run. A wrong answer never lets a program exceed its budget by more than one
+    /// turn.
+    std::function<bool(const std::string& nodeKey)> isAlive;
+    /// \brief Asks the node to return the tokens of the program that it does not need.
+    std::function<void(const std::string& nodeKey, const std::string& program)> askToReturn;
+};
+
 /// \brief Enforces the output token budgets of programs across nodes, failed attempts and restarts.
 ///
 /// Each program has one row, which contains a share for each incarnation of a node that runs it: the number of tokens
@@ -49,6 +58,10 @@
 /// the tokens actually used. The sum of the shares never exceeds the budget, so the budget holds even if nodes fail. A
 /// share is raised by up to one turn more than needed, so that later turns can start without a store call, also during
 /// an outage.
+///
+/// If a node seems dead, another node releases the tokens that it held ahead of its turns. It may only be frozen or cut
+/// off and use them nevertheless. So all tokens that are held ahead or released amount to one turn at most, and a
+/// program can exceed its budget by one turn at most.
 class TokenBudgets {
 public:
     using AnswerHandler = std::function<void(BudgetAnswer)>;
@@ -56,6 +69,8 @@
     TokenBudgets(asio::io_context& context, RowStore& store, StoreHealth& storeHealth, RowExpiry& rowExpiry,
         std::string nodeKey, BudgetOptions options = {});
 
+    void setShareHolders(ShareHolders nodes) { this->holders = std::move(nodes); }
+
     /// \brief Calls `done` immediately if the share of this node covers the turn, else after the store has answered.
     void reserve(const BudgetRequest& request, core::TimePoint now, AnswerHandler done);
     /// \brief Whether the program has neither used tokens nor a turn in progress, as far as this node knows.
@@ -65,6 +80,8 @@
     /// \brief Returns unused shares of idle programs that other nodes use too or whose home is another node, and renews
     /// rows that would expire too early after the last turn; call several times a second.
     void tick(core::TimePoint now, const std::function<bool(const std::string&)>& isHome);
+    /// \brief Returns the unused share of the program if it is idle at this node.
+    void returnUnusedShare(const std::string& program);
     /// \brief Returns all unused shares on shutdown; call repeatedly until the process ends.
     void returnUnusedShares();
     [[nodiscard]] std::size_t size() const noexcept { return this->programs.size(); }
@@ -80,6 +97,10 @@
     struct Share {
         std::uint64_t tokens = 0;
         std::uint64_t used = 0;
+        /// \brief Part of the tokens that no turn had been granted.
+        std::uint64_t ahead = 0;
+        /// \brief Tokens that other nodes have released; the node may have used them.
+        std::uint64_t released = 0;
     };
     /// \brief A write without an answer; it may still take effect while the row has this version.
     struct UnconfirmedWrite {
@@ -110,6 +131,8 @@
         /// \brief Tokens used by completed turns or reserved for turns in progress.
         std::uint64_t used = 0;
         std::uint32_t turnsInProgress = 0;
+        /// \brief Maximum tokens of the last turn.
+        std::uint64_t turnTokens = 0;
         std::vector<PendingReservation> pending;
         bool callInProgress = false;
         /// \brief A write was not answered; the row must be read before the next write.
@@ -128,7 +151,9 @@
     [[nodiscard]] static bool needsRenewal(const Program& program);
     void grantPending(Program& program);
     void processPending(const std::string& id);
-    void writeRow(const std::string& id, Program& program, std::uint64_t share, core::TimePoint now);
+    /// \brief `ahead` is the part of the share that no turn has been granted.
+    void writeRow(
+        const std::string& id, Program& program, std::uint64_t share, std::uint64_t ahead, core::TimePoint now);
     void writeEnded(
         const std::string& id, std::uint64_t share, core::TimePoint sentAt, StoreResult<TransactionResult> result);
     void readRow(const std::string& id, Program& program);
@@ -140,6 +165,19 @@
     void processPendingAfter(const std::string& id, core::Duration delay);
     [[nodiscard]] RowKey rowKey(const std::string& id) const;
     [[nodiscard]] static Share sumOtherShares(const Program& program);
+    /// \brief Whether the program is idle at this node and its share has unused tokens.
+    [[nodiscard]] static bool holdsUnusedTokens(const Program& program);
+    /// \brief Number of tokens that the share may exceed the granted ones by.
+    [[nodiscard]] static std::uint64_t maxAhead(const Program& program);
+    [[nodiscard]] bool isAlive(const std::string& shareId) const;
+    /// \brief Releases what nodes that seem dead hold ahead; returns whether there was any. The next write of the row
+    /// makes it durable.
+    bool releaseTokensOfDeadNodes(const std::string& id, Program& program);
+    /// \brief Asks the other nodes that hold unused tokens to return them; returns whether any live node holds tokens.
+    bool askToReturn(const std::string& id, const Program& program);
+    /// \brief Number of tokens that other nodes have used: all of the share of a node that seems dead.
+    [[nodiscard]] std::uint64_t usedByOthers(const Program& program) const;
+    void refuseFirstPending(const std::string& id, Program& program);
 
     asio::io_context& context;
     RowStore& store;
@@ -147,6 +185,7 @@
     RowExpiry& rowExpiry;
     std::string nodeKey;
     BudgetOptions options;
+    ShareHolders holders;
     state::Generator random;
     std::unordered_map<std::string, Program> programs;
     std::uint64_t lastShareId = 0;
--- a/tests/PeersTests.cpp
+++ b/tests/PeersTests.cpp
@@ -497,4 +497,26 @@
     EXPECT_EQ(reservation->answer, BudgetAnswer::Granted);
 }
 
+// Guards against a program that can't use its budget at the node to which its callers have moved, because its first node
+// holds tokens and learns of no other share.
+TEST(Peers, ANodeReturnsWhatAnotherOneNeeds)
+{
+    PeerCluster cluster;
+    const auto runTurn = [&cluster](std::size_t node) {
+        auto& budgets = *cluster.nodes[node]->budgets;
+        auto answer = std::make_shared<std::optional<BudgetAnswer>>();
+        budgets.reserve({ "moved", budget, turnTokens, seconds(60), seconds(5) }, core::monotonicNow(),
+            [answer](BudgetAnswer granted) { *answer = granted; });
+        (void)runUntil(cluster.context, [&answer] { return answer->has_value(); });
+        if (*answer == BudgetAnswer::Granted)
+            budgets.settle("moved", turnTokens, turnTokens, core::monotonicNow());
+        return *answer;
+    };
+    ASSERT_EQ(runTurn(1), BudgetAnswer::Granted);
+    std::uint64_t used = turnTokens;
+    while (runTurn(0) == BudgetAnswer::Granted)
+        used += turnTokens;
+    EXPECT_EQ(used, budget);
+}
+
 } // namespace lagoontiller::tests
--- a/tests/RosterTests.cpp
+++ b/tests/RosterTests.cpp
@@ -18,9 +18,10 @@
     {
     }
 
-    gateway::NodeRegistry& add(const std::string& name, const std::string& zone, const std::string& region)
+    gateway::NodeRegistry& add(const std::string& name, const std::string& zone, const std::string& region,
+        const std::string& incarnation = {})
     {
-        const gateway::NodeEntry self { name, zone, region, name + ":1", name + ":2", false };
+        const gateway::NodeEntry self { name, zone, region, name + ":1", name + ":2", false, incarnation };
         this->registries.push_back(std::make_unique<gateway::NodeRegistry>(this->context, this->observedStore,
             this->storeHealth, self, std::vector<std::string> { "z1", "z2", "z3" }));
         this->registries.back()->start();
@@ -148,6 +149,22 @@
     EXPECT_EQ(first.addressesFor("z1", "r1", 64), (std::vector<std::string> { "a:1", "b:1", "good:1" }));
 }
 
+// Guards against taking a node that was killed and has started again for the one that holds tokens.
+TEST(NodeRegistry, TellsIncarnationsApart)
+{
+    NodeRegistryFixture fixture;
+    const auto& first = fixture.add("a", "z1", "r1", "a1");
+    EXPECT_TRUE(first.isAlive("b", "b1")) << "no zone has been read yet";
+    fixture.add("b", "z1", "r1", "b1");
+    ASSERT_TRUE(fixture.waitUntil([&first] { return first.peerAddress("b") == "b:2"; }));
+    EXPECT_TRUE(first.isAlive("a", "a1"));
+    EXPECT_FALSE(first.isAlive("a", "a0"));
+    EXPECT_TRUE(first.isAlive("b", "b1"));
+    EXPECT_FALSE(first.isAlive("c", "c1"));
+    fixture.add("b", "z1", "r1", "b2");
+    EXPECT_TRUE(fixture.waitUntil([&first] { return first.isAlive("b", "b2") && !first.isAlive("b", "b1"); }));
+}
+
 // Guards against nodes that get no callers because the zone has more nodes than a response may list.
 TEST(NodeRegistry, ReturnsVaryingNodesOfALargeZone)
 {
