Limit the memory of request bodies and unread output of a process

Cause: single messages and all incomplete responses had limits, bodies of requests and output that callers don't read had none, and glibc kept freed blocks. Change: an eighth of the process's memory each. A request that doesn't fit is refused as not run when its head is read, with half a second to come back; the connection with the most unread output is closed. Freed blocks of 256 KiB and more go back to the system.

--- a/source/command/GatewayCommand.cpp
+++ b/source/command/GatewayCommand.cpp
@@ -9,6 +9,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 
 namespace lagoontiller::command {
 
@@ -17,6 +18,18 @@
 /// \brief Environment variable with the path of the settings file, used without `--settings`.
 constexpr auto settingsVariable = "LAGOONTILLER_BOOT";
 
+/// \brief Returns freed memory of large bodies to the operating system. By default glibc raises both thresholds with the
+/// size of freed blocks and keeps tens of megabytes.
+void limitFreeMemory()
+{
+#ifdef __GLIBC__
+    constexpr int mmapThresholdBytes = 256 * 1'024;
+    constexpr int trimThresholdBytes = 1'024 * 1'024;
+    mallopt(M_MMAP_THRESHOLD, mmapThresholdBytes);
+    mallopt(M_TRIM_THRESHOLD, trimThresholdBytes);
+#endif
+}
+
 } // namespace
 
 int runGateway(int argc, const char* const* argv)
@@ -44,6 +57,7 @@
             std::cerr << document::format(fault, file) << '\n';
         return ExitStatus::FaultsFound;
     }
+    limitFreeMemory();
     core::initialiseLogging(result.settings->logLevel, result.settings->nodeName);
     core::bufferLogs();
     gateway::Node node(result.settings, file);
--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -20,6 +20,9 @@
 /// \brief Fraction of the process memory for incomplete responses.
 constexpr std::size_t responseMemoryDivisor = 8;
 constexpr std::size_t minResponseMemoryBytes = 1U << 20U;
+/// \brief Fraction of the process memory for the bodies of requests, of which each attempt has a copy, and for output
+/// that callers have not read.
+constexpr std::size_t callerMemoryDivisor = 8;
 /// \brief Base64 encodes 3 bytes as 4 characters. The record around the texts needs part of the remaining bytes.
 constexpr std::size_t base64DecodedBytes = 3;
 constexpr std::size_t base64EncodedBytes = 4;
@@ -193,6 +196,10 @@
     limits.headerTimeout = configuration->limits.headerTimeout;
     limits.idleTimeout = configuration->limits.idleTimeout;
     this->callerServer.setLimits(limits);
+    const auto memory = this->settings->memoryBytes / callerMemoryDivisor;
+    // One request of the maximum size fits beside small ones, however small the limit is.
+    this->callerServer.setMemoryLimits({ std::max(memory, limits.message.maxBodyBytes + minResponseMemoryBytes),
+        std::max(memory, minResponseMemoryBytes) });
     this->gateway.configure(std::make_shared<const Configuration>(*configuration));
     this->configured = true;
     this->updateReady();
@@ -355,6 +362,8 @@
     this->updateReady();
     this->reloadSettings();
     this->metrics.set("gateway_calls_in_progress", {}, static_cast<double>(this->gateway.callsInProgress()));
+    this->metrics.set("gateway_request_bytes", {}, static_cast<double>(this->callerServer.heldRequestBytes()));
+    this->metrics.set("gateway_output_bytes", {}, static_cast<double>(this->callerServer.queuedOutputBytes()));
     this->metrics.set("gateway_store_lost", {}, this->storeHealth.unreachable() ? 1 : 0);
 }
 
--- a/source/transport/Parser.cpp
+++ b/source/transport/Parser.cpp
@@ -136,6 +136,7 @@
     this->headBytes = 0;
     this->consumedBytes = 0;
     this->bodyBytes = 0;
+    this->announcedBodyBytes = 0;
     this->methodName.clear();
     this->targetText.clear();
     this->fieldName.clear();
@@ -222,6 +223,12 @@
         this->bodyFraming = Framing::Length;
     else if (this->kind == Kind::Response)
         this->bodyFraming = Framing::UntilClose;
+    if (this->kind == Kind::Request && this->bodyFraming == Framing::Length) {
+        // A longer body is rejected when it is read.
+        this->announcedBodyBytes
+            = static_cast<std::size_t>(std::min<std::uint64_t>(this->parser.content_length, this->limits.maxBodyBytes));
+        this->body.reserve(this->announcedBodyBytes);
+    }
     return true;
 }
 
--- a/source/transport/Parser.h
+++ b/source/transport/Parser.h
@@ -2,6 +2,7 @@
 
 #include "transport/Message.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <http_parser.h>
 
@@ -54,6 +55,11 @@
     [[nodiscard]] const std::string& method() const noexcept { return this->methodName; }
     [[nodiscard]] const std::string& target() const noexcept { return this->targetText; }
     [[nodiscard]] const Fields& fields() const noexcept { return this->headFields; }
+    /// \brief Size of the body: as announced if that is larger than what has been parsed; 0 before the end of the head.
+    [[nodiscard]] std::size_t expectedBodyBytes() const noexcept
+    {
+        return std::max(this->announcedBodyBytes, this->bodyBytes);
+    }
     [[nodiscard]] int status() const noexcept { return this->parser.status_code; }
     [[nodiscard]] bool keepAlive() const noexcept { return this->keepAliveAllowed; }
     [[nodiscard]] Framing framing() const noexcept { return this->bodyFraming; }
@@ -84,6 +90,8 @@
     /// \brief All bytes consumed for the message.
     std::size_t consumedBytes = 0;
     std::size_t bodyBytes = 0;
+    /// \brief Content-Length; 0 for other framings.
+    std::size_t announcedBodyBytes = 0;
     std::string methodName;
     std::string targetText;
     std::string fieldName;
--- a/source/transport/Server.cpp
+++ b/source/transport/Server.cpp
@@ -3,8 +3,10 @@
 #include "core/Log.h"
 #include "transport/SocketOptions.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/write.hpp>
+#include <utility>
 
 namespace lagoontiller::transport {
 
@@ -15,6 +17,9 @@
 constexpr std::size_t readBufferBytes = 16'384;
 /// \brief Limit of the input that is buffered while a request is in progress; reading pauses when it is reached.
 constexpr std::size_t maxUnparsedBytes = 65'536;
+/// \brief Time for which the rest of a refused request is read; closing earlier could reset the connection before the
+/// client has read the response.
+constexpr auto maxDiscardTime = std::chrono::seconds(2);
 
 } // namespace
 
@@ -41,6 +46,10 @@
     bool reading = false;
     bool closed = false;
     bool closeAfterWrite = false;
+    /// \brief The request was refused; its remaining bytes are ignored.
+    bool discarding = false;
+    /// \brief Bytes of the request's body that count towards the memory limit.
+    std::size_t heldBytes = 0;
     std::array<char, readBufferBytes> buffer {};
 };
 
@@ -171,6 +180,10 @@
 
 void Server::handleReceived(const ConnectionPointer& connection, std::size_t size)
 {
+    if (connection->discarding) {
+        this->read(connection);
+        return;
+    }
     connection->unparsedInput.append(connection->buffer.data(), size);
     if (!connection->busy)
         this->parse(connection);
@@ -181,7 +194,7 @@
 void Server::parse(const ConnectionPointer& connection)
 {
     auto& parser = connection->parser;
-    if (connection->closeAfterWrite)
+    if (connection->closeAfterWrite || connection->discarding)
         return;
     if (!parser.started()) {
         parser.setLimits(this->limits.message);
@@ -191,6 +204,11 @@
     const bool hadHead = parser.headComplete();
     const auto used = parser.feed(connection->unparsedInput);
     connection->unparsedInput.erase(0, used);
+    const bool valid = parser.state() == ParserState::Incomplete || parser.state() == ParserState::Complete;
+    if (valid && parser.headComplete() && !this->holdRequest(*connection)) {
+        this->refuseRequest(connection);
+        return;
+    }
     switch (parser.state()) {
     case ParserState::Incomplete:
         if (!hadHead && parser.headComplete() && parser.fields().hasToken("Expect", "100-continue"))
@@ -225,6 +243,38 @@
     this->send(connection, statusLine(status) + "Content-Length: 0\r\nConnection: close\r\n\r\n");
 }
 
+bool Server::holdRequest(Connection& connection)
+{
+    const auto& parser = connection.parser;
+    const auto needed = std::max(connection.heldBytes, parser.expectedBodyBytes());
+    const auto others = this->requestBytes - connection.heldBytes;
+    if (others > 0 && needed > connection.heldBytes && others + needed > this->memoryLimits.requestBytes)
+        return false;
+    this->requestBytes = others + needed;
+    connection.heldBytes = needed;
+    return true;
+}
+
+void Server::releaseRequest(Connection& connection)
+{
+    this->requestBytes -= std::exchange(connection.heldBytes, 0);
+}
+
+void Server::refuseRequest(const ConnectionPointer& connection)
+{
+    core::logWarning("request_memory_full")
+        .with("connection", connection->id)
+        .with("held_bytes", this->requestBytes)
+        .with("body_bytes", connection->parser.expectedBodyBytes());
+    this->releaseRequest(*connection);
+    connection->keepAlive = false;
+    connection->discarding = true;
+    connection->phaseStart = core::monotonicNow();
+    connection->parser.reset();
+    connection->unparsedInput = std::string();
+    this->send(connection, statusLine(503) + "Content-Length: 0\r\nRetry-After: 0.5\r\nConnection: close\r\n\r\n");
+}
+
 void Server::respond(ConnectionId id, const std::string& head, std::string_view body)
 {
     const auto connection = this->find(id);
@@ -284,6 +334,7 @@
 {
     connection->busy = false;
     --this->busyConnectionCount;
+    this->releaseRequest(*connection);
     connection->phaseStart = core::monotonicNow();
     connection->parser.reset();
     if (!connection->keepAlive) {
@@ -306,7 +357,25 @@
 void Server::send(const ConnectionPointer& connection, std::string_view bytes)
 {
     connection->pendingOutput.append(bytes);
+    this->outputBytes += bytes.size();
     this->flush(connection);
+    this->limitOutput();
+}
+
+void Server::limitOutput()
+{
+    if (this->outputBytes <= this->memoryLimits.outputBytes)
+        return;
+    const auto queued
+        = [](const auto& entry) { return entry.second->pendingOutput.size() + entry.second->outputInProgress.size(); };
+    const auto largest = std::max_element(this->connectionsById.begin(), this->connectionsById.end(),
+        [&queued](const auto& left, const auto& right) { return queued(left) < queued(right); });
+    if (largest == this->connectionsById.end())
+        return;
+    const auto connection = largest->second;
+    core::logWarning("output_memory_full").with("connection", connection->id).with("queued_bytes", this->outputBytes);
+    // The response is in progress in the calls above, so the connection is closed afterwards.
+    asio::post(this->context, [this, connection] { this->close(connection, true); });
 }
 
 void Server::flush(const ConnectionPointer& connection)
@@ -316,9 +385,10 @@
     connection->outputInProgress.swap(connection->pendingOutput);
     asio::async_write(connection->socket, asio::buffer(connection->outputInProgress),
         [this, connection](asio::error_code error, std::size_t) {
-            connection->outputInProgress.clear();
             if (connection->closed)
                 return;
+            this->outputBytes -= connection->outputInProgress.size();
+            connection->outputInProgress.clear();
             if (error) {
                 this->close(connection, true);
                 return;
@@ -335,6 +405,8 @@
     if (connection->closed)
         return;
     connection->closed = true;
+    this->releaseRequest(*connection);
+    this->outputBytes -= connection->pendingOutput.size() + connection->outputInProgress.size();
     asio::error_code ignored; // The connection is discarded, so errors have no consequence.
     connection->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     connection->socket.close(ignored);
@@ -352,6 +424,8 @@
     if (connection.busy)
         return false;
     const auto age = now - connection.phaseStart;
+    if (connection.discarding)
+        return age > maxDiscardTime;
     if (!connection.parser.started())
         return age > this->limits.idleTimeout;
     return age > this->limits.requestTimeout || (!connection.parser.headComplete() && age > this->limits.headerTimeout);
--- a/source/transport/Server.h
+++ b/source/transport/Server.h
@@ -8,6 +8,7 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <unordered_map>
 
@@ -27,6 +28,15 @@
     std::size_t maxConnections = 4'000;
 };
 
+/// \brief Limits of the memory that all connections of a server hold together, in bytes.
+struct ServerMemoryLimits {
+    /// \brief Bodies of requests, from the end of their head to the end of their response.
+    std::size_t requestBytes = std::numeric_limits<std::size_t>::max();
+    /// \brief Output that clients have not read yet.
+    std::size_t outputBytes = std::numeric_limits<std::size_t>::max();
+    [[nodiscard]] bool operator==(const ServerMemoryLimits&) const = default;
+};
+
 /// \brief Callbacks of a server.
 struct ServerEvents {
     /// \brief A complete request was received; the response may be sent later.
@@ -49,6 +59,9 @@
     [[nodiscard]] std::string listen(const std::string& ip, std::uint16_t port);
     [[nodiscard]] std::uint16_t port() const;
     void setLimits(const ServerLimits& limits);
+    /// \brief A request whose body would exceed the limit is refused with 503 before it is read, unless no other one is
+    /// held. If the output exceeds its limit, the connection with the most output is closed.
+    void setMemoryLimits(const ServerMemoryLimits& limits) { this->memoryLimits = limits; }
     /// \brief Sends `Connection: close` with every further response and closes the connection after it.
     void startDraining();
     /// \brief Takes over the connections that clients have already established and closes the listening socket; open
@@ -72,6 +85,10 @@
     /// \brief Number of connections with a request in progress.
     [[nodiscard]] std::size_t busyConnections() const noexcept { return this->busyConnectionCount; }
     [[nodiscard]] std::size_t openConnections() const noexcept { return this->connectionsById.size(); }
+    /// \brief Number of bytes of request bodies that all connections hold.
+    [[nodiscard]] std::size_t heldRequestBytes() const noexcept { return this->requestBytes; }
+    /// \brief Number of bytes of output that clients have not read yet.
+    [[nodiscard]] std::size_t queuedOutputBytes() const noexcept { return this->outputBytes; }
     /// \brief Number of response bytes that are not yet written to the socket; 0 for an unknown connection.
     [[nodiscard]] std::size_t unsentBytes(ConnectionId connection) const;
 
@@ -85,6 +102,12 @@
     void handleReceived(const ConnectionPointer& connection, std::size_t size);
     void parse(const ConnectionPointer& connection);
     void rejectRequest(const ConnectionPointer& connection, int status);
+    /// \brief Accounts for the body of the request that is being read; false if it would exceed the limit.
+    [[nodiscard]] bool holdRequest(Connection& connection);
+    void releaseRequest(Connection& connection);
+    /// \brief Refuses a request whose body does not fit into the memory, and discards the rest of the body.
+    void refuseRequest(const ConnectionPointer& connection);
+    void limitOutput();
     void send(const ConnectionPointer& connection, std::string_view bytes);
     void flush(const ConnectionPointer& connection);
     void finishResponse(const ConnectionPointer& connection);
@@ -96,6 +119,9 @@
     asio::io_context& context;
     ServerEvents events;
     ServerLimits limits;
+    ServerMemoryLimits memoryLimits;
+    std::size_t requestBytes = 0;
+    std::size_t outputBytes = 0;
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer timeoutCheckTimer;
     std::unordered_map<ConnectionId, ConnectionPointer> connectionsById;
--- a/tests/TransportServerTests.cpp
+++ b/tests/TransportServerTests.cpp
@@ -3,6 +3,8 @@
 #include "support/FakeRowStore.h"
 #include "transport/Server.h"
 
+#include <algorithm>
+#include <array>
 #include <asio/connect.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
@@ -20,7 +22,10 @@
     ServerFixture()
         : server(this->context,
             { [this](transport::ConnectionId connection, transport::Request&&) {
-                 this->server.respond(connection, transport::statusLine(200), "ok");
+                 if (this->holds)
+                     this->held.push_back(connection);
+                 else
+                     this->server.respond(connection, transport::statusLine(200), this->body);
              },
                 [](transport::ConnectionId) {} })
     {
@@ -50,12 +55,34 @@
             this->context, [] { return false; }, time);
     }
 
+    /// \brief Whether requests wait; their connections are in `held` then.
+    bool holds = false;
+    std::vector<transport::ConnectionId> held;
+    std::string body = "ok";
     asio::io_context context;
     asio::io_context clients;
     transport::Server server;
     std::uint16_t port = 0;
 };
 
+std::string upload(std::size_t size, bool chunked)
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n";
+    const std::string body(size, 'x');
+    return chunked ? head + "Transfer-Encoding: chunked\r\n\r\n" + transport::chunk(body) + "0\r\n\r\n"
+                   : head + "Content-Length: " + std::to_string(size) + "\r\n\r\n" + body;
+}
+
+struct UploadCase {
+    std::string name;
+    /// \brief Sizes of the bodies that arrive while all are held.
+    std::vector<std::size_t> sizes;
+    std::vector<int> statuses;
+    bool chunked = false;
+};
+
+class RequestMemory : public testing::TestWithParam<UploadCase> { };
+
 } // namespace
 
 // Guards against a planned stop that resets requests which the machine had accepted but the process had not yet read.
@@ -97,4 +124,60 @@
     EXPECT_EQ(fixture.server.openConnections(), 0U);
 }
 
+// Guards against uploads that together exceed the memory of the process, and against refusing them late or without
+// saying that they have not run.
+TEST_P(RequestMemory, RefusesBodiesBeyondTheLimitAtOnce)
+{
+    const auto& each = GetParam();
+    ServerFixture fixture;
+    fixture.holds = true;
+    fixture.server.setMemoryLimits({ 100'000, 1U << 20U });
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (const auto size : each.sizes) {
+        sockets.push_back(fixture.connect());
+        asio::write(sockets.back(), asio::buffer(upload(size, each.chunked)));
+        fixture.runFor(std::chrono::milliseconds(50));
+    }
+    const auto accepted = std::count(each.statuses.begin(), each.statuses.end(), 200);
+    EXPECT_EQ(fixture.held.size(), static_cast<std::size_t>(accepted));
+    EXPECT_LE(fixture.server.heldRequestBytes(), std::max<std::size_t>(100'000, each.sizes.front()));
+    for (const auto connection : std::exchange(fixture.held, {}))
+        fixture.server.respond(connection, transport::statusLine(200) + "Connection: close\r\n", "ok");
+    fixture.runFor(std::chrono::milliseconds(50));
+    EXPECT_EQ(fixture.server.heldRequestBytes(), 0U);
+    for (std::size_t index = 0; index < sockets.size(); ++index) {
+        std::array<char, 200> buffer {};
+        const auto size = sockets[index].read_some(asio::buffer(buffer));
+        const std::string text(buffer.data(), size);
+        EXPECT_NE(text.find(" " + std::to_string(each.statuses[index]) + " "), std::string::npos) << text;
+        EXPECT_EQ(text.find("Retry-After") != std::string::npos, each.statuses[index] == 503);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, RequestMemory,
+    testing::Values(UploadCase { "UnderTheLimit", { 40'000, 40'000 }, { 200, 200 } },
+        UploadCase { "OverTheLimit", { 60'000, 60'000, 30'000 }, { 200, 503, 200 } },
+        UploadCase { "ChunkedOverTheLimit", { 60'000, 60'000, 30'000 }, { 200, 503, 200 }, true },
+        UploadCase { "OneAlone", { 150'000, 10 }, { 200, 503 } }),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against responses that slow clients leave in the memory of the process, and against closing other connections.
+TEST(TransportServer, ClosesTheConnectionWithTheMostOutput)
+{
+    ServerFixture fixture;
+    fixture.server.setMemoryLimits({ 100'000, 12U << 20U });
+    fixture.body = std::string(8U << 20U, 'x');
+    auto slow = fixture.connect();
+    asio::write(slow, asio::buffer(request));
+    fixture.runFor(std::chrono::milliseconds(50));
+    fixture.body = std::string(7U << 20U, 'x');
+    auto other = fixture.connect();
+    asio::write(other, asio::buffer(request));
+    fixture.runFor(std::chrono::milliseconds(50));
+    EXPECT_LE(fixture.server.queuedOutputBytes(), 12U << 20U);
+    EXPECT_EQ(fixture.server.openConnections(), 1U);
+    fixture.server.closeIdle();
+    EXPECT_EQ(fixture.server.openConnections(), 1U) << "its output is not read yet";
+}
+
 } // namespace lagoontiller::tests
