Resume no stream by an outdated list of software versions

Cause: ServiceVersions::inServiceWithin used the cached row whenever the read failed. Change: without the row, the cached one counts only while a peer states that it can't reach the store either. Failed before: with the new condition taken out, NodeWithoutStore/CutOff fails (resumed with 200).

--- a/source/gateway/RelayedStore.cpp
+++ b/source/gateway/RelayedStore.cpp
@@ -111,6 +111,8 @@
         }
         if (unanswered || response->relayed().outcome() == wire::RelayedAnswer::NOT_DONE) {
             this->selector.notReached(peer, now);
+            if (!unanswered)
+                this->storeHealth.notePeerWithoutStore(now);
             this->tryNextPeer(relay);
             return;
         }
--- a/source/gateway/ServiceVersions.cpp
+++ b/source/gateway/ServiceVersions.cpp
@@ -160,7 +160,8 @@
         auto& service = this->services[name];
         if (row != nullptr)
             this->takeRow(service, *row);
-        else if (!service.loaded) {
+        else if (!service.loaded || !this->storeHealth.isOutageConfirmed(core::monotonicNow())) {
+            // Other nodes may have listed versions and begun streams at them.
             done(std::nullopt);
             return;
         }
--- a/source/gateway/ServiceVersions.h
+++ b/source/gateway/ServiceVersions.h
@@ -33,7 +33,8 @@
     [[nodiscard]] const std::set<std::string>& listed(const std::string& service) const;
     /// \brief Whether more than one version is in service, or was until recently.
     [[nodiscard]] bool severalInService(const std::string& service) const;
-    /// \brief Reads which listed versions were in service within the last `window`.
+    /// \brief Reads which listed versions were in service within the last `window`. If the row cannot be read, the last
+    /// known one counts only in an outage that peers have confirmed.
     void inServiceWithin(const std::string& service, core::Duration window, std::function<void(Candidates)> done);
 
 private:
--- a/source/gateway/StoreHealth.cpp
+++ b/source/gateway/StoreHealth.cpp
@@ -19,6 +19,9 @@
 /// \brief Interval at which peers are tried again after none of them could reach the store; equals the heartbeat
 /// interval during outages.
 constexpr core::Duration relayRetryInterval = std::chrono::milliseconds(300);
+/// \brief Time for which the statement of a peer that it cannot reach the store counts; peers are asked again within
+/// this time.
+constexpr core::Duration peerStatementValidity = std::chrono::seconds(3);
 
 std::string_view toString(StoreFailure failure) noexcept
 {
@@ -46,6 +49,7 @@
     }
     this->isUnreachable = false;
     this->relayFailedAt.reset();
+    this->peerWithoutStoreAt.reset();
     this->lastSuccessAt = now;
     this->typicalLatency = (this->typicalLatency * 7 + took) / 8;
 }
@@ -96,6 +100,13 @@
     if (reached != worked)
         core::logInfo("store_relay").with("state", reached ? "works" : "no_peer_has_contact");
     this->relayFailedAt = reached ? std::nullopt : std::optional(now);
+    if (reached)
+        this->peerWithoutStoreAt.reset();
+}
+
+bool StoreHealth::isOutageConfirmed(core::TimePoint now) const noexcept
+{
+    return this->failing() && this->peerWithoutStoreAt && now - *this->peerWithoutStoreAt <= peerStatementValidity;
 }
 
 bool StoreHealth::shouldTryRelay(core::TimePoint now) const noexcept
--- a/source/gateway/StoreHealth.h
+++ b/source/gateway/StoreHealth.h
@@ -27,6 +27,12 @@
     /// \brief Records the end of a relayed call; `reached` says whether a peer could reach the store.
     void noteRelayResult(bool reached, core::TimePoint now);
 
+    /// \brief Records that a peer stated that it cannot reach the store either.
+    void notePeerWithoutStore(core::TimePoint now) noexcept { this->peerWithoutStoreAt = now; }
+    /// \brief Whether the store seems unreachable for other nodes too, so that none of them can have changed a row. A
+    /// node that is cut off from the store and its peers cannot tell.
+    [[nodiscard]] bool isOutageConfirmed(core::TimePoint now) const noexcept;
+
     /// \brief Whether a call should be relayed: relays are enabled, and the last one did not fail within the retry
     /// interval.
     [[nodiscard]] bool shouldTryRelay(core::TimePoint now) const noexcept;
@@ -56,6 +62,7 @@
     bool relaysEnabled = false;
     /// \brief Time at which the last relayed call found no peer that could reach the store; empty after a success.
     std::optional<core::TimePoint> relayFailedAt;
+    std::optional<core::TimePoint> peerWithoutStoreAt;
     bool isUnreachable = true;
     bool everFailed = false;
     core::TimePoint lastSuccessAt {};
--- a/tests/GatewayStreamVersionTests.cpp
+++ b/tests/GatewayStreamVersionTests.cpp
@@ -163,6 +163,39 @@
         ResumptionCase { "OldVersionLongGone", { { "v1", 50'000 }, { "v2", 0 } }, { "v2" }, 200 }),
     [](const auto& info) { return info.param.name; });
 
+struct OutOfStepCase {
+    std::string name;
+    /// \brief Whether a peer has stated that it cannot reach the store either.
+    bool outageConfirmed = false;
+    int status = 0;
+};
+
+class NodeWithoutStore : public testing::TestWithParam<OutOfStepCase> { };
+
+// Guards against joined versions at a node that was cut off while endpoints of a new version joined: the list of
+// versions that it last read does not contain the one that began the stream.
+TEST_P(NodeWithoutStore, ResumesAStreamOnlyIfNoVersionCanHaveJoined)
+{
+    GatewayWorld world;
+    world.store.now = 100'000;
+    listVersions(world, { { "v1", 0 } });
+    ScriptedEndpoint endpoint(world.context, { brokenStream("v1") });
+    world.serve(resumableRoute(), { &endpoint }, { "v1" });
+    ASSERT_TRUE(runUntil(world.context, [&world] { return world.versions.listed("s").size() == 1; }));
+    world.store.fault = StoreFault::Down;
+    (void)world.ask("before", resumption("lost"));
+    endpoint.requests.clear();
+    if (GetParam().outageConfirmed)
+        world.contact.notePeerWithoutStore(core::monotonicNow());
+    const auto seen = world.ask("b", resumption("lost"));
+    EXPECT_EQ(seen->status, GetParam().status);
+    EXPECT_EQ(endpoint.requests.size(), seen->status == 200 ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, NodeWithoutStore,
+    testing::Values(OutOfStepCase { "CutOff", false, 503 }, OutOfStepCase { "OutageForAll", true, 200 }),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against refusing streams of a version that still serves when the memory of all nodes is lost.
 TEST(GatewayStreamVersion, AStreamIsResumedAfterTheLossOfAllNodesByItsRow)
 {
