--- a/source/command/GatewayCommand.cpp
+++ b/source/command/GatewayCommand.cpp
@@ -18,8 +18,8 @@
 /// \brief Environment variable with the path of the settings file, used without `--settings`.
 constexpr auto settingsVariable = "LAGOONTILLER_BOOT";
 
-/// \brief Returns freed memory of large bodies to the operating system. By default glibc raises both thresholds with the
-/// size of freed blocks and keeps tens of megabytes.
+/// \brief Returns freed memory of large bodies to the operating system. By default glibc raises both thresholds with
+/// the size of freed blocks and keeps tens of megabytes.
 void limitFreeMemory()
 {
 #ifdef __GLIBC__
