Estimate by recent calls what a stopping node can still serve

Cause: callers wait up to 6 s for turns that take about one. Change: a call needs twice the longest call of its route in the last 30 s and 0.2 s, and at most the time to its deadline. Without such a call the deadline decides, as before. Failed before: CallAtStoppingNode/NonIdempotentAfterShortOnes and StreamAfterShortOnes don't hold for the deadline alone (by the condition; the old form was not run with them).

--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include "core/Metrics.h"
 #include "core/ResultCode.h"
+#include "gateway/CallDurations.h"
 #include "gateway/EndpointDirectory.h"
 #include "gateway/EndpointLossTracker.h"
 #include "gateway/EndpointRateLimits.h"
@@ -79,6 +80,8 @@
 
     // Preparation (GatewayAdmission.cpp).
     void admit(Flow&& flow, core::TimePoint now);
+    /// \brief Whether the call can end before a planned stop of this node; always true without one.
+    [[nodiscard]] bool canEndBeforeStop(const Flow& flow, core::TimePoint now) const;
     void reserveBudget(FlowId id, core::TimePoint now);
     void handleBudgetAnswer(FlowId id, BudgetAnswer answer);
     void loadHistory(FlowId id);
@@ -150,6 +153,7 @@
     policy::Random random;
     std::shared_ptr<const Configuration> configuration;
     std::optional<StopSchedule> stopSchedule;
+    CallDurations callDurations;
     RouteTable routes;
     std::unordered_map<std::string, std::shared_ptr<const Service>> services;
     /// \brief Services of resumable routes, and whether several software versions of them were in service last.
--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -135,7 +135,7 @@
     flow.service = service->second;
     const auto time = std::min(flow.call.deadline.value_or(flow.route->timeout), flow.route->timeout);
     flow.deadline = now + time;
-    if (this->stopSchedule && !this->stopSchedule->admits(flow.deadline)) {
+    if (!this->canEndBeforeStop(flow, now)) {
         // Other nodes serve the caller at once.
         this->respond(id, { 503, core::ResultCode::NodeDraining, "node_stopping", {} });
         return;
@@ -160,6 +160,18 @@
     this->dispatchWhenPrepared(id);
 }
 
+bool Gateway::canEndBeforeStop(const Flow& flow, core::TimePoint now) const
+{
+    if (!this->stopSchedule)
+        return true;
+    auto longest = this->callDurations.longest(flow.route->name, now);
+    for (const auto& [id, other] : this->flows) {
+        if (longest && other.route && other.route->name == flow.route->name)
+            longest = std::max(*longest, now - other.arrivedAt);
+    }
+    return this->stopSchedule->admits(flow.deadline, longest, now);
+}
+
 void Gateway::reserveBudget(FlowId id, core::TimePoint now)
 {
     auto* const flow = this->find(id);
--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -269,6 +269,8 @@
         this->dependencies.peerService.settle(flow.call.program, *flow.reservation, flow.eventCount * perEvent, now);
     }
     const auto took = now - flow.arrivedAt;
+    if (flow.reachedEndpoint)
+        this->callDurations.record(flow.route->name, took, now);
     core::logInfo("call_ended")
         .with("id", flow.call.id)
         .with("program", flow.call.program)
--- a/source/gateway/StopSchedule.cpp
+++ b/source/gateway/StopSchedule.cpp
@@ -12,6 +12,9 @@
 constexpr core::Duration killReserve = std::chrono::milliseconds(400);
 /// \brief Time before the end of the calls from which no connections are accepted.
 constexpr core::Duration acceptLead = std::chrono::milliseconds(1'500);
+/// \brief Margin of the longest recent call: calls may slow down while other nodes stop, too.
+constexpr int longestCallFactor = 2;
+constexpr core::Duration longestCallMargin = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -21,6 +24,13 @@
 {
 }
 
+bool StopSchedule::admits(
+    core::TimePoint deadline, std::optional<core::Duration> longestCall, core::TimePoint now) const noexcept
+{
+    const auto expectedEnd = longestCall ? now + *longestCall * longestCallFactor + longestCallMargin : deadline;
+    return std::min(deadline, expectedEnd) <= this->end;
+}
+
 bool StopSchedule::mayStopAccepting(bool idle, core::TimePoint now) const noexcept
 {
     const auto earliest = std::min(this->startedAt + minAcceptTime, this->end);
--- a/tests/StopScheduleTests.cpp
+++ b/tests/StopScheduleTests.cpp
@@ -24,6 +24,7 @@
     bool admitted = false;
     bool idle = false;
     bool stopsAccepting = false;
+    std::optional<core::Duration> longestCall {};
 };
 
 class StopScheduleTable : public testing::TestWithParam<ScheduleCase> { };
@@ -35,6 +36,8 @@
     std::string deadlineMs;
     int status = 0;
     std::size_t requests = 0;
+    /// \brief Whether a call of the route has ended soon before.
+    bool afterShortCall = false;
 };
 
 class CallAtStoppingNode : public testing::TestWithParam<StopCase> { };
@@ -48,7 +51,7 @@
     const auto& each = GetParam();
     const StopSchedule schedule(start, each.grace);
     const auto now = start + each.elapsed;
-    EXPECT_EQ(schedule.admits(now + each.remaining), each.admitted);
+    EXPECT_EQ(schedule.admits(now + each.remaining, each.longestCall, now), each.admitted);
     EXPECT_EQ(schedule.mayStopAccepting(each.idle, now), each.stopsAccepting);
     EXPECT_LT(schedule.endsAt(), start + std::max<core::Duration>(each.grace, milliseconds(1)));
 }
@@ -57,6 +60,10 @@
     testing::Values(ScheduleCase { "AtSigterm", seconds(8), seconds(0), seconds(6), true, true, false },
         ScheduleCase { "LongCallLate", seconds(8), seconds(3), seconds(6), false, false, false },
         ScheduleCase { "ShortCallLate", seconds(8), seconds(3), milliseconds(1'500), true, false, false },
+        ScheduleCase { "ShortCallsOfTheRouteLate", seconds(8), seconds(3), seconds(6), true, false, false, seconds(2) },
+        ScheduleCase { "LongCallsOfTheRouteLate", seconds(8), seconds(3), seconds(6), false, false, false, seconds(3) },
+        ScheduleCase {
+            "CallsOfTheRouteBeyondTheDeadline", seconds(8), seconds(3), seconds(4), true, false, false, seconds(5) },
         ScheduleCase { "IdleAfterMostCallersHaveLeft", seconds(8), milliseconds(3'050), seconds(1), true, true, true },
         ScheduleCase { "BusyNode", seconds(8), seconds(6), milliseconds(1'500), true, false, false },
         ScheduleCase { "BusyNodeNearTheEnd", seconds(8), milliseconds(6'150), milliseconds(1'500), false, false, true },
@@ -79,6 +86,10 @@
     route.kind = each.kind;
     route.timeout = seconds(6);
     world.serve(route, { &endpoint });
+    if (each.afterShortCall) {
+        EXPECT_EQ(world.ask("before")->status, 200);
+        endpoint.requests.clear();
+    }
     world.gateway.startDraining(StopSchedule(core::monotonicNow(), each.grace));
     const auto sentAt = core::monotonicNow();
     const auto head = each.deadlineMs.empty() ? std::string() : "X-Deadline-Ms: " + each.deadlineMs + "\r\n";
@@ -97,7 +108,23 @@
         StopCase { "Stream", CallKind::Streaming, seconds(5), {}, 503, 0 },
         StopCase { "NonIdempotentInTime", CallKind::NonIdempotent, seconds(5), "1500", 200, 1 },
         StopCase { "StreamInTime", CallKind::Streaming, seconds(5), "1500", 200, 1 },
+        StopCase { "NonIdempotentAfterShortOnes", CallKind::NonIdempotent, seconds(5), {}, 200, 1, true },
+        StopCase { "StreamAfterShortOnes", CallKind::Streaming, seconds(5), {}, 200, 1, true },
+        StopCase { "NoTimeLeftAfterShortOnes", CallKind::NonIdempotent, milliseconds(450), {}, 503, 0, true },
         StopCase { "TimeoutInTime", CallKind::NonIdempotent, seconds(8), {}, 200, 1 }),
     [](const auto& info) { return info.param.name; });
 
+// Guards against an estimate from calls of long ago, and against one that a single short call lowers.
+TEST(CallDurations, KeepsTheLongestRecentCallOfEachRoute)
+{
+    gateway::CallDurations durations;
+    EXPECT_FALSE(durations.longest("r", start).has_value());
+    durations.record("r", seconds(3), start);
+    durations.record("r", seconds(1), start + seconds(15));
+    durations.record("other", seconds(5), start);
+    EXPECT_EQ(durations.longest("r", start + seconds(29)), seconds(3));
+    EXPECT_EQ(durations.longest("r", start + seconds(45)), seconds(1));
+    EXPECT_FALSE(durations.longest("r", start + seconds(80)).has_value());
+}
+
 } // namespace lagoontiller::tests
