Use the cluster's store link in the tests of released tokens

Cause: two test classes did the same. Change: GatewayBudgetReleaseTests uses NodeStore of tests/support/PeerCluster.h; no check was changed.

--- a/tests/GatewayBudgetReleaseTests.cpp
+++ b/tests/GatewayBudgetReleaseTests.cpp
@@ -1,7 +1,6 @@
 // Tokens held by nodes that are dead, frozen, cut off or no longer used by a program.
 
-#include "gateway/TokenBudgets.h"
-#include "support/FakeRowStore.h"
+#include "support/PeerCluster.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -14,48 +13,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::uint64_t budget = 1'000;
-constexpr std::uint64_t turnTokens = 100;
-
-/// \brief One node's access to the store of the test, which can be cut.
-class NodeLink : public gateway::RowStore {
-public:
-    NodeLink(asio::io_context& context, gateway::RowStore& store)
-        : context(context)
-        , store(store)
-    {
-    }
-
-    void transact(gateway::RowTransaction transaction, core::Duration timeout,
-        std::function<void(gateway::StoreResult<gateway::TransactionResult>)> done) override
-    {
-        if (!this->failIfCut(done))
-            this->store.transact(std::move(transaction), timeout, std::move(done));
-    }
-    void read(gateway::RowRange range, core::Duration timeout,
-        std::function<void(gateway::StoreResult<gateway::RowPage>)> done) override
-    {
-        if (!this->failIfCut(done))
-            this->store.read(std::move(range), timeout, std::move(done));
-    }
-    void watch(const std::string&, std::uint64_t, core::Duration,
-        std::function<void(gateway::StoreResult<gateway::RowPage>)>) override
-    {
-    }
-
-    bool cut = false;
-
-private:
-    template <typename Done> bool failIfCut(const Done& done)
-    {
-        if (this->cut)
-            asio::post(this->context, [done] { done(tl::unexpected(gateway::StoreFailure::NotDone)); });
-        return this->cut;
-    }
-
-    asio::io_context& context;
-    gateway::RowStore& store;
-};
+constexpr std::uint64_t budget = peerBudget;
+constexpr std::uint64_t turnTokens = peerTurnTokens;
 
 /// \brief Nodes with one store. A killed node is replaced by a new incarnation without memory.
 class ReleaseWorld {
@@ -108,7 +67,10 @@
             this->dead.erase(this->nodes[index]->key);
     }
 
-    void setCut(std::size_t index, bool cut) { this->nodes[index]->link.cut = cut; }
+    void setCut(std::size_t index, bool cut)
+    {
+        this->nodes[index]->link.failure = cut ? std::optional(gateway::StoreFailure::NotDone) : std::nullopt;
+    }
 
     void tickAll()
     {
@@ -131,7 +93,7 @@
         {
         }
         std::string key;
-        NodeLink link;
+        NodeStore link;
         gateway::StoreHealth storeHealth;
         gateway::RowExpiry expiry;
         std::unique_ptr<gateway::TokenBudgets> budgets;
