Let the callers of the soak respect Connection: close

Cause, by the nodes' logs: n0 was stopping since and had answered c4-43 at ...8884 with Connection: close; n2 since ...8354, c10-35 at ...8565. The next requests of both callers, c4-45 and c10-37, went out on these closed connections; no node has a line of either. The callers noticed the close more than 0.2 s later, as their process lagged (a stream of 0.16 s took 0.62 s). Change: a caller doesn't keep a connection whose response announces its end, as the platform's clients do. The check is unchanged; other open connections are used until the process is gone.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -27,6 +27,7 @@
     status: int = 0
     complete: bool = False
     retry_after: float = 0.0
+    closes: bool = False
     output: str = ""
     id: str = ""
     request: Request = None
@@ -110,11 +111,12 @@
             return outcome
         finally:
             self.record_tokens(request, fields)
-        if outcome.complete:
+        if not outcome.complete:
+            self.check_planned_loss(request, outcome, False)
+        if outcome.complete and not outcome.closes:
             self.idle_connections[node.name] = (request.incarnation, reader, writer)
         else:
             http.abort(writer)
-            self.check_planned_loss(request, outcome, False)
         return outcome
 
     def check_planned_loss(self, request, outcome, timed_out):
@@ -134,6 +136,7 @@
             return
         outcome.status = message.status
         outcome.retry_after = float(message.fields.get("retry-after", 0))
+        outcome.closes = message.fields.get("connection") == "close"
         self.rules.record_status(request, message.status)
         if request.kind == "streaming" and message.status == 200:
             await self.receive_stream(request, reader, message, outcome)
