--- a/tests/GatewayCallTests.cpp
+++ b/tests/GatewayCallTests.cpp
@@ -160,14 +160,15 @@
     auto second = std::make_unique<ScriptedEndpoint>(
         world.context, std::vector<ScriptedEndpoint::Answer> { { "", Then::Crash } });
     world.serve(routeOf(CallKind::NonIdempotent), { first.get() });
+    const auto isLost = [&world](const std::string& endpoint) {
+        return runUntil(world.context, [&] { return world.store.find({ "losses", "", endpoint }) != nullptr; });
+    };
     EXPECT_EQ(world.ask("a", {}, "poison")->status, 502);
-    (void)runUntil(
-        world.context, [] { return false; }, std::chrono::milliseconds(300));
+    EXPECT_TRUE(isLost("i-1"));
     world.directory.remove("i-1", core::monotonicNow());
     world.directory.upsert({ "i-2", "s", second->address(), "z", 4, false, 0 }, core::monotonicNow());
     EXPECT_EQ(world.ask("b", {}, "poison")->status, 502);
-    (void)runUntil(
-        world.context, [] { return false; }, std::chrono::milliseconds(300));
+    EXPECT_TRUE(isLost("i-2"));
     ScriptedEndpoint third(world.context, { { wholeAnswer("d", 200, "ok", signatureLine) } });
     world.directory.remove("i-2", core::monotonicNow());
     world.directory.upsert({ "i-3", "s", third.address(), "z", 4, false, 0 }, core::monotonicNow());
--- a/tests/GatewayPoisonTests.cpp
+++ b/tests/GatewayPoisonTests.cpp
@@ -41,9 +41,7 @@
         id = crashing->address();
         world.directory.upsert({ id, "s", crashing->address(), "z", 4, false, 0, {} }, core::monotonicNow());
         EXPECT_EQ(world.ask("a", GetParam().crashing, "yes")->status, 502);
-        // The loss of the endpoint is confirmed meanwhile.
-        (void)runUntil(
-            world.context, [] { return false; }, std::chrono::milliseconds(300));
+        EXPECT_TRUE(runUntil(world.context, [&] { return world.store.find({ "losses", "", id }) != nullptr; }));
     }
     world.directory.upsert({ "sound", "s", sound.address(), "z", 4, false, 0, {} }, core::monotonicNow());
     world.directory.remove(id, core::monotonicNow());
