Count how endpoints frame responses, and log events whose number doesn't follow

Change: gateway_responses_total per service and framing, stream_event_irregular with its counter, the number of the last event in attempt_failed and call_ended; no decision changes.

--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -131,6 +131,8 @@
     void handleResponseHead(FlowId id, transport::ResponseHead&& head);
     void recordRateLimit(const FlowAttempt& attempt, core::TimePoint now);
     void handleResponseBody(FlowId id, std::string&& bytes);
+    /// \brief Logs an event whose number doesn't follow the last one.
+    void recordIrregularEvent(const Flow& flow, const StreamEvent& event);
     void forwardEvents(Flow& flow, std::string_view bytes, core::TimePoint now);
     /// \brief Updates the memory that the call's response takes, and ends attempts that exceed a limit.
     void limitResponseMemory(FlowId id, core::TimePoint now);
--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -19,6 +19,21 @@
 constexpr double typicalStreamMs = 400;
 constexpr double typicalPlainCallMs = 150;
 
+std::string_view toString(transport::Framing framing) noexcept
+{
+    switch (framing) {
+    case transport::Framing::None:
+        return "none";
+    case transport::Framing::Length:
+        return "length";
+    case transport::Framing::Chunked:
+        return "chunked";
+    case transport::Framing::UntilClose:
+        return "until_close";
+    }
+    return "unknown";
+}
+
 /// \brief Whether callers conclude from the status alone that the request was not executed. Only an explicit response
 /// header of the endpoint proves that, so these statuses are not forwarded.
 constexpr bool impliesNotExecuted(int status) noexcept
@@ -40,6 +55,8 @@
     if (attempt.response->leaving)
         this->dependencies.endpointDirectory.markLeaving(attempt.endpoint, attempt.endpointStartedAt, now);
     this->recordRateLimit(attempt, now);
+    this->dependencies.metrics.add("gateway_responses_total",
+        { { "service", flow->service->name }, { "framing", std::string(toString(attempt.response->framing)) } });
 }
 
 void Gateway::recordRateLimit(const FlowAttempt& attempt, core::TimePoint now)
@@ -91,10 +108,28 @@
         fail(*failing, "memory_exceeded");
 }
 
+void Gateway::recordIrregularEvent(const Flow& flow, const StreamEvent& event)
+{
+    if (!event.hasData || (event.id && event.id == flow.lastEvent.value_or(0) + 1))
+        return;
+    std::string_view kind = "unnumbered";
+    if (event.id)
+        kind = flow.lastEvent && *event.id <= *flow.lastEvent ? "repeated" : "missing";
+    core::logWarning("stream_event_irregular")
+        .with("id", flow.call.id)
+        .with("endpoint", flow.attempt->endpoint)
+        .with("attempt", flow.attempts)
+        .with("kind", kind)
+        .with("last", flow.lastEvent.value_or(0))
+        .with("event", event.id.value_or(0));
+    this->dependencies.metrics.add("gateway_irregular_events_total", { { "kind", std::string(kind) } });
+}
+
 void Gateway::forwardEvents(Flow& flow, std::string_view bytes, core::TimePoint now)
 {
     std::string out;
     for (auto& event : flow.attempt->eventParser.feed(bytes)) {
+        this->recordIrregularEvent(flow, event);
         if (event.id && flow.lastEvent && *event.id <= *flow.lastEvent)
             continue;
         if (event.id)
@@ -279,6 +314,7 @@
         .with("status", status)
         .with("attempts", flow.attempts)
         .with("events", flow.eventCount)
+        .with("last_event", flow.lastEvent.value_or(0))
         .with("first_ms",
             flow.responseStarted && flow.firstEventAt.time_since_epoch().count() > 0
                 ? (flow.firstEventAt - flow.arrivedAt).count() / 1'000
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -302,6 +302,7 @@
         .with("endpoint", flow.attempt->endpoint)
         .with("cause", cause)
         .with("events", flow.eventCount)
+        .with("last_event", flow.lastEvent.value_or(0))
         .with("after_ms", (now - flow.attempt->sentAt).count() / 1'000);
     this->dependencies.metrics.add("gateway_attempts_failed_total", { { "cause", std::string(cause) } });
     // A single broken connection may be caused by the response. It counts as a server error until the loss of the
