Resume a stream only at the service that began it

Cause: a resumption was placed like a new call, by the route as it is now and by the id of the new call. Notes of streams named the software version but not the service, and versions of two services often have the same name.

Now notes in memory, messages between nodes and rows name both. A stream goes on at its service if the route still sends calls there, and is refused as not run otherwise (resumption_refused, stream_service_gone). A node without a note places a resumption by the id of the call that began the stream; if its route has changed within the time for which the stream can be resumed, it asks other nodes and the store, and streams are noted there meanwhile. The new fields are additive: notes of older builds count only while one service is possible.

--- /dev/null
+++ b/source/gateway/FormerRoutes.cpp
@@ -0,0 +1,66 @@
+#include "gateway/FormerRoutes.h"
+
+#include "gateway/RouteTable.h"
+
+#include <algorithm>
+#include <map>
+
+namespace lagoontiller::gateway {
+
+namespace {
+
+/// \brief Longer than any stream can be resumed.
+constexpr core::Duration retention = std::chrono::minutes(10);
+
+bool isSameRoute(const Route& first, const Route& second)
+{
+    return first.host == second.host && first.pathPrefix == second.pathPrefix;
+}
+
+void addServices(std::set<std::string>& services, const Route& route, std::optional<std::uint64_t> key)
+{
+    if (route.services.empty())
+        return;
+    if (key) {
+        services.insert(chooseService(route, *key));
+        return;
+    }
+    for (const auto& each : route.services)
+        services.insert(each.service);
+}
+
+} // namespace
+
+void FormerRoutes::replace(const Configuration& previous, const Configuration& next, core::TimePoint now)
+{
+    while (!this->routes.empty() && now - this->routes.front().replacedAt > retention)
+        this->routes.pop_front();
+    std::map<std::pair<std::string_view, std::string_view>, const Route*> remaining;
+    for (const auto& route : next.routes)
+        remaining[{ route.host, route.pathPrefix }] = &route;
+    for (const auto& route : previous.routes) {
+        const auto found = remaining.find({ route.host, route.pathPrefix });
+        if (found == remaining.end() || found->second->services != route.services)
+            this->routes.push_back({ route, now });
+    }
+}
+
+bool FormerRoutes::changedWithin(const Route& route, core::Duration window, core::TimePoint now) const
+{
+    return std::any_of(this->routes.begin(), this->routes.end(),
+        [&](const auto& former) { return now - former.replacedAt <= window && isSameRoute(former.route, route); });
+}
+
+std::set<std::string> FormerRoutes::servicesWithin(
+    const Route& route, std::optional<std::uint64_t> key, core::Duration window, core::TimePoint now) const
+{
+    std::set<std::string> services;
+    addServices(services, route, key);
+    for (const auto& former : this->routes) {
+        if (now - former.replacedAt <= window && isSameRoute(former.route, route))
+            addServices(services, former.route, key);
+    }
+    return services;
+}
+
+} // namespace lagoontiller::gateway
--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/EndpointLossTracker.h"
 #include "gateway/EndpointRateLimits.h"
 #include "gateway/Flow.h"
+#include "gateway/FormerRoutes.h"
 #include "gateway/NewProgramLimiter.h"
 #include "gateway/Placement.h"
 #include "gateway/ResponseMemory.h"
@@ -46,7 +47,7 @@
         std::size_t maxResponseBytes = defaultMaxResponseBytes);
 
     /// \brief Replaces the configuration; calls in progress keep their route and service.
-    void configure(std::shared_ptr<const Configuration> configuration);
+    void configure(std::shared_ptr<const Configuration> configuration, core::TimePoint now);
     void setReadyNodesInZone(double count) { this->location.readyNodesInZone = count; }
     /// \brief Handles a complete request of a caller.
     void handleRequest(transport::ConnectionId connection, transport::Request&& request, core::TimePoint now);
@@ -86,12 +87,16 @@
     void handleBudgetAnswer(FlowId id, BudgetAnswer answer);
     void loadHistory(FlowId id);
     void handleHistory(FlowId id, tl::expected<Chain, HistoryFailure> chain);
-    /// \brief Finds the software version that began the stream that the call resumes.
-    void findStreamVersion(FlowId id);
-    /// \brief Looks for the version at other nodes and in the store; refuses the call if it is not known there.
-    void searchStreamVersion(FlowId id);
-    void resumeAt(FlowId id, const std::optional<std::string>& version);
-    void refuseResumption(FlowId id);
+    /// \brief Finds the service and the software version that began the stream that the call resumes.
+    void findStreamOrigin(FlowId id);
+    /// \brief Looks for the origin at other nodes and in the store; refuses the call if it is not known there.
+    void searchStreamOrigin(FlowId id);
+    /// \brief Services that may have begun the stream that the call resumes.
+    [[nodiscard]] std::set<std::string> originServices(const Flow& flow) const;
+    /// \brief Resumes the stream at its origin, or refuses the call if its route no longer permits that service.
+    void resumeAtOrigin(FlowId id, const StreamOrigin& origin);
+    void resumeAtVersion(FlowId id, const std::optional<std::string>& version);
+    void refuseResumption(FlowId id, std::string_view cause);
     void dispatchWhenPrepared(FlowId id);
 
     /// \brief Whether the engines of the call's service have room for a new program; always true for other services.
@@ -117,8 +122,8 @@
     void recordFirstEvent(Flow& flow, bool inTime, core::TimePoint now);
     /// \brief Software versions that may take the call; any if empty.
     [[nodiscard]] std::set<std::string> permittedVersions(const Flow& flow) const;
-    /// \brief Remembers the software version that began the stream, for callers that resume it.
-    void noteStreamVersion(const Flow& flow, core::TimePoint now);
+    /// \brief Remembers the origin of the stream, for callers that resume it.
+    void noteStreamOrigin(const Flow& flow, core::TimePoint now);
     /// \brief Whether the call may be sent again although an endpoint may have executed it.
     [[nodiscard]] bool mayRetry(const Flow& flow) const;
     void checkInactivity(Flow& flow, core::TimePoint now);
@@ -155,6 +160,7 @@
     std::optional<StopSchedule> stopSchedule;
     CallDurations callDurations;
     RouteTable routes;
+    FormerRoutes formerRoutes;
     std::unordered_map<std::string, std::shared_ptr<const Service>> services;
     /// \brief Services of resumable routes, and whether several software versions of them were in service last.
     std::map<std::string, bool> resumableServices;
--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -33,6 +33,35 @@
     return route.timeout * 2;
 }
 
+/// \brief Time for which a stream's origin matters after a service or a software version of it has left.
+core::Duration originWindow(const Route& route)
+{
+    return resumptionTime(route) + versionListingMargin;
+}
+
+/// \brief Name of the stream that the call begins or resumes.
+const std::string& streamName(const Call& call)
+{
+    return call.resumedStream.empty() ? call.id : call.resumedStream;
+}
+
+/// \brief Id that selects one of the services of a route; a resumption has that of the call that began the stream.
+/// Empty if it is not known.
+std::optional<std::string> placementId(const Call& call)
+{
+    if (!call.program.empty())
+        return call.program;
+    if (!call.lastEvent)
+        return call.id;
+    return call.resumedStream.empty() ? std::nullopt : std::optional(call.resumedStream);
+}
+
+bool sendsTo(const Route& route, const std::string& service)
+{
+    return std::any_of(route.services.begin(), route.services.end(),
+        [&service](const auto& each) { return each.service == service && each.weight > 0; });
+}
+
 /// \brief Digest of the content and the caller of a request, equal when the caller sends the request again.
 std::string requestDigest(const Call& call)
 {
@@ -71,8 +100,10 @@
 {
 }
 
-void Gateway::configure(std::shared_ptr<const Configuration> next)
+void Gateway::configure(std::shared_ptr<const Configuration> next, core::TimePoint now)
 {
+    if (this->configuration)
+        this->formerRoutes.replace(*this->configuration, *next, now);
     this->routes = RouteTable(next->routes);
     this->services.clear();
     for (const auto& service : next->services)
@@ -86,6 +117,12 @@
     }
     this->resumableServices = std::move(resumable);
     this->configuration = std::move(next);
+    // Streams that began before are known to this node only.
+    for (const auto& [id, flow] : this->flows) {
+        if (flow.responseStarted && flow.streamVersion
+            && this->formerRoutes.changedWithin(*flow.route, core::Duration::zero(), now))
+            this->noteStreamOrigin(flow, now);
+    }
 }
 
 void Gateway::handleRequest(transport::ConnectionId connection, transport::Request&& request, core::TimePoint now)
@@ -126,7 +163,7 @@
         this->respond(id, { 503, core::ResultCode::RequestIsolated, "request_isolated", {} });
         return;
     }
-    const auto key = core::hash64(flow.call.program.empty() ? flow.call.id : flow.call.program);
+    const auto key = core::hash64(placementId(flow.call).value_or(flow.call.id));
     const auto service = this->services.find(chooseService(*flow.route, key));
     if (service == this->services.end()) {
         this->respond(id, { 503, core::ResultCode::UnknownService, "no_service", retryAfterStartup });
@@ -156,7 +193,7 @@
     if (history && this->find(id) != nullptr)
         this->loadHistory(id);
     if (resumes && this->find(id) != nullptr)
-        this->findStreamVersion(id);
+        this->findStreamOrigin(id);
     this->dispatchWhenPrepared(id);
 }
 
@@ -279,17 +316,26 @@
     this->dispatchWhenPrepared(id);
 }
 
-void Gateway::findStreamVersion(FlowId id)
+std::set<std::string> Gateway::originServices(const Flow& flow) const
+{
+    const auto id = placementId(flow.call);
+    const auto key = id ? std::optional(core::hash64(*id)) : std::nullopt;
+    return this->formerRoutes.servicesWithin(*flow.route, key, originWindow(*flow.route), flow.arrivedAt);
+}
+
+void Gateway::findStreamOrigin(FlowId id)
 {
     const auto& flow = *this->find(id);
-    const auto& stream = flow.call.resumedStream;
-    if (auto version = this->dependencies.peerService.knownStreamVersion(stream)) {
-        this->resumeAt(id, version);
+    if (const auto origin = this->dependencies.peerService.knownStream(streamName(flow.call))) {
+        this->resumeAtOrigin(id, *origin);
+        return;
+    }
+    if (this->originServices(flow).size() != 1) {
+        this->searchStreamOrigin(id);
         return;
     }
-    const auto window = resumptionTime(*flow.route) + versionListingMargin;
     this->dependencies.serviceVersions.inServiceWithin(
-        flow.service->name, window, [this, id, stream](ServiceVersions::Candidates candidates) {
+        flow.service->name, originWindow(*flow.route), [this, id](ServiceVersions::Candidates candidates) {
             const auto* const waiting = this->find(id);
             if (waiting == nullptr)
                 return;
@@ -297,39 +343,59 @@
             if (candidates && candidates->empty())
                 candidates = this->dependencies.endpointDirectory.versions(waiting->service->name);
             if (candidates && candidates->size() <= 1) {
-                this->resumeAt(id, candidates->empty() ? std::nullopt : std::optional(*candidates->begin()));
+                this->resumeAtVersion(id, candidates->empty() ? std::nullopt : std::optional(*candidates->begin()));
                 return;
             }
-            this->searchStreamVersion(id);
+            this->searchStreamOrigin(id);
         });
 }
 
-void Gateway::searchStreamVersion(FlowId id)
+void Gateway::searchStreamOrigin(FlowId id)
 {
-    const auto stream = this->find(id)->call.resumedStream;
-    const auto searched = [this, id](const std::optional<std::string>& version) {
+    const auto stream = streamName(this->find(id)->call);
+    const auto searched = [this, id](const std::optional<StreamOrigin>& origin) {
         if (this->find(id) == nullptr)
             return;
-        if (version)
-            this->resumeAt(id, version);
+        if (origin)
+            this->resumeAtOrigin(id, *origin);
         else
-            this->refuseResumption(id);
+            this->refuseResumption(id, "stream_origin_unknown");
     };
-    this->dependencies.peerService.findStreamVersion(
-        stream, core::monotonicNow(), [this, id, stream, searched](const std::optional<std::string>& version) {
-            if (version || stream.empty() || this->find(id) == nullptr)
-                searched(version);
+    this->dependencies.peerService.findStream(
+        stream, core::monotonicNow(), [this, id, stream, searched](const std::optional<StreamOrigin>& origin) {
+            if (origin || this->find(id) == nullptr)
+                searched(origin);
             else
                 this->dependencies.streamVersionRows.read(stream, searched);
         });
 }
 
-void Gateway::resumeAt(FlowId id, const std::optional<std::string>& version)
+void Gateway::resumeAtOrigin(FlowId id, const StreamOrigin& origin)
+{
+    auto& flow = *this->find(id);
+    if (origin.service.empty()) {
+        if (this->originServices(flow).size() == 1)
+            this->resumeAtVersion(id, origin.version);
+        else
+            this->refuseResumption(id, "stream_origin_unknown");
+        return;
+    }
+    const auto service = this->services.find(origin.service);
+    if (service == this->services.end() || !sendsTo(*flow.route, origin.service)) {
+        this->refuseResumption(id, "stream_service_gone");
+        return;
+    }
+    flow.service = service->second;
+    this->resumeAtVersion(id, origin.version);
+}
+
+void Gateway::resumeAtVersion(FlowId id, const std::optional<std::string>& version)
 {
     auto& flow = *this->find(id);
     core::logInfo("stream_resumed")
         .with("id", flow.call.id)
-        .with("stream", flow.call.resumedStream)
+        .with("stream", streamName(flow.call))
+        .with("service", flow.service->name)
         .with("version", version.value_or(std::string("any")))
         .with("waited_ms", (core::monotonicNow() - flow.arrivedAt).count() / 1'000);
     flow.streamVersion = version;
@@ -337,11 +403,14 @@
     this->dispatchWhenPrepared(id);
 }
 
-void Gateway::refuseResumption(FlowId id)
+void Gateway::refuseResumption(FlowId id, std::string_view cause)
 {
     const auto& flow = *this->find(id);
-    core::logWarning("stream_version_unknown").with("id", flow.call.id).with("stream", flow.call.resumedStream);
-    this->respond(id, { 503, core::ResultCode::NoEndpoint, "stream_version_unknown", {} });
+    core::logWarning("resumption_refused")
+        .with("id", flow.call.id)
+        .with("stream", streamName(flow.call))
+        .with("cause", cause);
+    this->respond(id, { 503, core::ResultCode::NoEndpoint, cause, {} });
 }
 
 void Gateway::updateServiceVersions(core::TimePoint now)
@@ -356,19 +425,20 @@
         // Streams that began before are known to this node only.
         for (const auto& [id, flow] : this->flows) {
             if (flow.service && flow.service->name == service && flow.responseStarted && flow.streamVersion)
-                this->noteStreamVersion(flow, now);
+                this->noteStreamOrigin(flow, now);
         }
     }
 }
 
-void Gateway::noteStreamVersion(const Flow& flow, core::TimePoint now)
+void Gateway::noteStreamOrigin(const Flow& flow, core::TimePoint now)
 {
-    const auto& stream = flow.call.resumedStream.empty() ? flow.call.id : flow.call.resumedStream;
-    const bool several = this->dependencies.serviceVersions.severalInService(flow.service->name);
-    const StreamVersion note { stream, *flow.streamVersion, resumptionTime(*flow.route) };
-    this->dependencies.peerService.noteStreamVersion(note, several, now);
+    const bool several = this->dependencies.serviceVersions.severalInService(flow.service->name)
+        || this->formerRoutes.changedWithin(*flow.route, originWindow(*flow.route), now);
+    const StreamNote note { streamName(flow.call), { flow.service->name, *flow.streamVersion },
+        resumptionTime(*flow.route) };
+    this->dependencies.peerService.noteStream(note, several, now);
     if (several)
-        this->dependencies.streamVersionRows.write(note.stream, note.version, note.resumable, now);
+        this->dependencies.streamVersionRows.write(note.stream, note.origin, note.resumable, now);
 }
 
 void Gateway::dispatchWhenPrepared(FlowId id)
--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -116,7 +116,7 @@
         if (flow.route->resumable) {
             if (!flow.streamVersion)
                 flow.streamVersion = flow.attempt->endpointVersion;
-            this->noteStreamVersion(flow, now);
+            this->noteStreamOrigin(flow, now);
         }
         this->dependencies.callers.begin(
             flow.connection, platform::encodeForwardedResponseHead(*flow.attempt->response));
--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -200,7 +200,7 @@
     // One request of the maximum size fits beside small ones, however small the limit is.
     this->callerServer.setMemoryLimits({ std::max(memory, limits.message.maxBodyBytes + minResponseMemoryBytes),
         std::max(memory, minResponseMemoryBytes) });
-    this->gateway.configure(std::make_shared<const Configuration>(*configuration));
+    this->gateway.configure(std::make_shared<const Configuration>(*configuration), core::monotonicNow());
     this->configured = true;
     this->updateReady();
 }
--- a/source/gateway/PeerService.cpp
+++ b/source/gateway/PeerService.cpp
@@ -20,7 +20,7 @@
 constexpr core::Duration pendingAnswerDelay = std::chrono::milliseconds(100);
 /// \brief Maximum wait for a reservation; callers disconnect after 2 s without an event.
 constexpr core::Duration maxReservationWait = std::chrono::milliseconds(1'500);
-/// \brief Number of other nodes that remember the version that began a stream, and of those that are asked for it:
+/// \brief Number of other nodes that remember the origin of a stream, and of those that are asked for it:
 /// nodes may select different holders while their views of the zone differ, and the node that served the stream may be
 /// one.
 constexpr std::size_t streamHolderCount = 2;
@@ -262,23 +262,24 @@
     return holders;
 }
 
-void PeerService::noteStreamVersion(const StreamVersion& note, bool share, core::TimePoint now)
+void PeerService::noteStream(const StreamNote& note, bool share, core::TimePoint now)
 {
-    this->streamVersions.note(note.stream, note.version, now + note.resumable);
+    this->streamVersions.note(note.stream, note.origin, now + note.resumable);
     if (!share)
         return;
     wire::PeerRequest message;
     auto* const noted = message.mutable_note_stream();
     noted->set_stream(note.stream);
-    noted->set_version(note.version);
+    noted->set_service(note.origin.service);
+    noted->set_version(note.origin.version);
     noted->set_resumable_ms(static_cast<std::uint64_t>(note.resumable.count() / 1'000));
-    // If the message is lost, the stream is not resumed: the version that began it is then unknown.
+    // If the message is lost, the stream is not resumed: its origin is then unknown.
     for (const auto& holder : this->streamHolders(note.stream, streamHolderCount, now))
         this->client.send(holder, message, [](const wire::PeerResponse*) {});
 }
 
-void PeerService::findStreamVersion(
-    const std::string& stream, core::TimePoint now, const std::function<void(const std::optional<std::string>&)>& done)
+void PeerService::findStream(
+    const std::string& stream, core::TimePoint now, const std::function<void(const std::optional<StreamOrigin>&)>& done)
 {
     const auto holders = this->streamHolders(stream, askedHolderCount, now);
     if (stream.empty() || holders.empty()) {
@@ -293,9 +294,11 @@
             if (*unanswered == 0)
                 return;
             --*unanswered;
-            if (response != nullptr && !response->stream_version().empty()) {
+            const bool found
+                = response != nullptr && !(response->stream_service().empty() && response->stream_version().empty());
+            if (found) {
                 *unanswered = 0;
-                done(response->stream_version());
+                done(StreamOrigin { response->stream_service(), response->stream_version() });
             } else if (*unanswered == 0) {
                 done(std::nullopt);
             }
@@ -403,7 +406,8 @@
         const auto& note = message.note_stream();
         const auto limitMs = std::chrono::duration_cast<std::chrono::milliseconds>(maxStreamRetention).count();
         const auto resumable = std::min(note.resumable_ms(), static_cast<std::uint64_t>(limitMs));
-        this->streamVersions.note(note.stream(), note.version(), now + std::chrono::milliseconds(resumable));
+        this->streamVersions.note(
+            note.stream(), { note.service(), note.version() }, now + std::chrono::milliseconds(resumable));
         break;
     }
     case wire::PeerRequest::kReturnTokens:
@@ -411,7 +415,9 @@
         break;
     case wire::PeerRequest::kFindStream: {
         wire::PeerResponse response;
-        response.set_stream_version(this->streamVersions.find(message.find_stream().stream()).value_or(std::string()));
+        const auto origin = this->streamVersions.find(message.find_stream().stream()).value_or(StreamOrigin());
+        response.set_stream_service(origin.service);
+        response.set_stream_version(origin.version);
         this->respond(connection, response);
         return;
     }
--- a/source/gateway/PeerService.h
+++ b/source/gateway/PeerService.h
@@ -27,13 +27,13 @@
     bool firstTurn = false;
 };
 
-/// \brief The software version that began a stream, which is named by the id of the call that brought its first event.
-struct StreamVersion {
+/// \brief The origin of a stream, which is named by the id of the call that brought its first event.
+struct StreamNote {
     std::string stream;
-    std::string version;
+    StreamOrigin origin;
     /// \brief Time for which the stream may be resumed.
     core::Duration resumable {};
-    [[nodiscard]] bool operator==(const StreamVersion&) const = default;
+    [[nodiscard]] bool operator==(const StreamNote&) const = default;
 };
 
 /// \brief Objects that the peer service uses; all of them must outlive it.
@@ -73,16 +73,16 @@
     /// \brief Sends a durable turn to the program's home for caching.
     void offerTurn(const std::string& program, const Turn& turn, core::TimePoint now);
 
-    /// \brief Remembers the version that began a stream; if `share` is set, also at two other nodes of the zone.
-    void noteStreamVersion(const StreamVersion& note, bool share, core::TimePoint now);
-    /// \brief The version that began the stream, as far as this node itself remembers it.
-    [[nodiscard]] std::optional<std::string> knownStreamVersion(const std::string& stream) const
+    /// \brief Remembers the origin of a stream; if `share` is set, also at two other nodes of the zone.
+    void noteStream(const StreamNote& note, bool share, core::TimePoint now);
+    /// \brief The origin of the stream, as far as this node itself remembers it.
+    [[nodiscard]] std::optional<StreamOrigin> knownStream(const std::string& stream) const
     {
         return this->streamVersions.find(stream);
     }
-    /// \brief Asks the nodes of the zone that may remember the version that began the stream.
-    void findStreamVersion(const std::string& stream, core::TimePoint now,
-        const std::function<void(const std::optional<std::string>&)>& done);
+    /// \brief Asks the nodes of the zone that may remember the origin of the stream.
+    void findStream(const std::string& stream, core::TimePoint now,
+        const std::function<void(const std::optional<StreamOrigin>&)>& done);
 
     /// \brief Whether this node is the home of the program.
     [[nodiscard]] bool isHome(const std::string& program, core::TimePoint now)
--- a/source/gateway/StreamVersionRows.cpp
+++ b/source/gateway/StreamVersionRows.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 void StreamVersionRows::write(
-    const std::string& stream, const std::string& version, core::Duration resumable, core::TimePoint now)
+    const std::string& stream, const StreamOrigin& origin, core::Duration resumable, core::TimePoint now)
 {
     const auto rate = maxStreamRowsPerSecond / static_cast<double>(this->nodeCount);
     const auto seconds = std::chrono::duration<double>(now - this->permitsUpdatedAt).count();
@@ -32,7 +32,8 @@
         return;
     --this->permits;
     wire::StreamVersionRecord record;
-    record.set_version(version);
+    record.set_service(origin.service);
+    record.set_version(origin.version);
     record.set_kept_until_ms(
         this->storeHealth.storeTimeMs(now) + static_cast<std::uint64_t>(resumable.count() / 1'000));
     const auto key = rowKey(stream);
@@ -46,7 +47,7 @@
 }
 
 void StreamVersionRows::read(
-    const std::string& stream, const std::function<void(const std::optional<std::string>&)>& done)
+    const std::string& stream, const std::function<void(const std::optional<StreamOrigin>&)>& done)
 {
     const auto key = rowKey(stream);
     RowRange range;
@@ -58,7 +59,7 @@
         wire::StreamVersionRecord record;
         const bool found = page && !page->rows.empty() && page->rows.front().key.key == key.key
             && record.ParseFromString(page->rows.front().value);
-        done(found ? std::optional(record.version()) : std::nullopt);
+        done(found ? std::optional(StreamOrigin { record.service(), record.version() }) : std::nullopt);
     });
 }
 
--- a/source/gateway/StreamVersionRows.h
+++ b/source/gateway/StreamVersionRows.h
@@ -3,6 +3,7 @@
 #include "gateway/RowExpiry.h"
 #include "gateway/RowStore.h"
 #include "gateway/StoreHealth.h"
+#include "gateway/StreamVersions.h"
 
 #include <algorithm>
 #include <functional>
@@ -10,10 +11,10 @@
 
 namespace lagoontiller::gateway {
 
-/// \brief Rows that state which software version began a stream, for callers that resume it after all nodes that
-/// remember it have failed.
+/// \brief Rows that state which service and software version began a stream, for callers that resume it after all nodes
+/// that remember it have failed.
 ///
-/// They are written only while several versions are in service, and by all nodes together at most
+/// They are written only while a stream can have several origins, and by all nodes together at most
 /// `maxStreamRowsPerSecond` times a second; streams beyond that are remembered in memory only.
 class StreamVersionRows {
 public:
@@ -30,9 +31,9 @@
     /// \brief Number of nodes that share the rate of writes.
     void setNodeCount(std::size_t count) { this->nodeCount = std::max<std::size_t>(count, 1); }
     /// \brief Writes the row unless this node has used up its part of the rate; a failed write is not repeated.
-    void write(const std::string& stream, const std::string& version, core::Duration resumable, core::TimePoint now);
-    /// \brief Reads the version that began the stream; empty if there is no row or the store does not respond.
-    void read(const std::string& stream, const std::function<void(const std::optional<std::string>&)>& done);
+    void write(const std::string& stream, const StreamOrigin& origin, core::Duration resumable, core::TimePoint now);
+    /// \brief Reads the origin of the stream; empty if there is no row or the store does not respond.
+    void read(const std::string& stream, const std::function<void(const std::optional<StreamOrigin>&)>& done);
     /// \brief Expiry of a row in milliseconds of the store's clock; empty if the row cannot be decoded.
     [[nodiscard]] static std::optional<std::uint64_t> keptUntilMs(const Row& row);
 
--- a/tests/support/GatewayWorld.h
+++ b/tests/support/GatewayWorld.h
@@ -54,28 +54,41 @@
     /// `versions` are their software versions, all the same if there are fewer.
     void serve(gateway::Route route, const std::vector<ScriptedEndpoint*>& endpoints,
         const std::vector<std::string>& endpointVersions = {})
+    {
+        this->configure(std::move(route), { "s" });
+        std::size_t number = 0;
+        for (const auto* endpoint : endpoints) {
+            this->addEndpoint(
+                "s", *endpoint, number < endpointVersions.size() ? endpointVersions[number] : std::string());
+            ++number;
+        }
+    }
+
+    /// \brief Puts a configuration in force that consists of the route and its services, all with equal weights.
+    void configure(gateway::Route route, const std::vector<std::string>& services)
     {
         route.host = "h";
         route.pathPrefix = "/p/";
-        route.services = { { "s", 1 } };
         if (route.timeout.count() == 0)
             route.timeout = std::chrono::seconds(3);
         gateway::Configuration configuration;
-        configuration.version = 1;
-        configuration.routes = { route };
-        gateway::Service service { "s", "/health", 10, std::nullopt };
-        if (route.kind == gateway::CallKind::Streaming)
-            service.engine = gateway::EngineTraits { 4, 1'000, 2 };
-        configuration.services = { service };
-        this->gateway.configure(std::make_shared<const gateway::Configuration>(configuration));
-        std::size_t number = 0;
-        for (const auto* endpoint : endpoints) {
-            const auto version = number < endpointVersions.size() ? endpointVersions[number] : std::string();
-            ++number;
-            this->directory.upsert(
-                { "i-" + std::to_string(number), "s", endpoint->address(), "z", 4, false, 0, version },
-                core::monotonicNow());
+        configuration.version = ++this->configurationVersion;
+        for (const auto& name : services) {
+            route.services.push_back({ name, 1 });
+            gateway::Service service { name, "/health", 10, std::nullopt };
+            if (route.kind == gateway::CallKind::Streaming)
+                service.engine = gateway::EngineTraits { 4, 1'000, 2 };
+            configuration.services.push_back(service);
         }
+        configuration.routes = { route };
+        this->gateway.configure(std::make_shared<const gateway::Configuration>(configuration), core::monotonicNow());
+    }
+
+    /// \brief Adds an endpoint of the service to the directory.
+    void addEndpoint(const std::string& service, const ScriptedEndpoint& endpoint, const std::string& version = {})
+    {
+        const auto id = "i-" + std::to_string(++this->lastEndpoint);
+        this->directory.upsert({ id, service, endpoint.address(), "z", 4, false, 0, version }, core::monotonicNow());
     }
 
     /// \brief Sends a request of the test's caller; `head` are further header lines.
@@ -128,6 +141,9 @@
     transport::ExchangeId lastExchange = 0;
 
 private:
+    std::uint64_t configurationVersion = 0;
+    std::size_t lastEndpoint = 0;
+
     void tick()
     {
         this->timer.expires_after(gateway::tickInterval);
