Begin streams only at listed software versions

A node that had not read or written a service's row let streams begin at every version of its view. Another node found no row, or one without that version, took its own view for the list, and resumed the stream at the only version that it saw: the pieces of two versions in one answer (rule ORDER).

Cause: an empty list permitted any version, although decision 0206 relies on each version being listed first.

A resumable stream now waits until its service has a list, which takes a read and a write when the service comes into use, and is refused as not run after 1 s (versions_not_listed). Where nothing is listed, no stream can have begun.

Evidence: NoStreamBeginsBeforeItsVersionIsListed failed against the code before: with the store away, the call was answered with 200 while nothing was listed.

--- a/source/gateway/Flow.h
+++ b/source/gateway/Flow.h
@@ -62,6 +62,8 @@
     bool waitsForBudget = false;
     bool waitsForHistory = false;
     bool waitsForStreamVersion = false;
+    /// \brief No version of the service is listed yet, so that no stream may begin.
+    bool waitsForListing = false;
     std::optional<Reservation> reservation;
     Chain chain;
     /// \brief Request body for the endpoint if it differs from the caller's.
--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -97,6 +97,9 @@
     void resumeAtOrigin(FlowId id, const StreamOrigin& origin);
     void resumeAtVersion(FlowId id, const std::optional<std::string>& version);
     void refuseResumption(FlowId id, std::string_view cause);
+    /// \brief Sends the calls that have waited for a listed version of their service, and refuses those that have waited
+    /// too long.
+    void dispatchListed(core::TimePoint now);
     void dispatchWhenPrepared(FlowId id);
 
     /// \brief Whether the engines of the call's service have room for a new program; always true for other services.
--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -25,6 +25,9 @@
 
 /// \brief Time that a node may need to list a new software version, and to notice that one has left.
 constexpr core::Duration versionListingMargin = std::chrono::seconds(5);
+/// \brief Longest time for which a stream waits until a version of its service is listed; callers abandon a stream
+/// after 2 s without an event.
+constexpr core::Duration maxListingWait = std::chrono::milliseconds(1'000);
 
 /// \brief Time after its start within which a stream of the route may be resumed: callers resume it within their
 /// deadline, which can be later than the time-out of the route.
@@ -428,6 +431,26 @@
                 this->noteStreamOrigin(flow, now);
         }
     }
+    this->dispatchListed(now);
+}
+
+void Gateway::dispatchListed(core::TimePoint now)
+{
+    std::vector<FlowId> ids;
+    for (const auto& [id, flow] : this->flows) {
+        if (flow.waitsForListing)
+            ids.push_back(id);
+    }
+    for (const auto id : ids) {
+        auto* flow = this->find(id);
+        if (flow == nullptr)
+            continue;
+        flow->waitsForListing = false;
+        this->dispatchWhenPrepared(id);
+        flow = this->find(id);
+        if (flow != nullptr && flow->waitsForListing && now - flow->arrivedAt >= maxListingWait)
+            this->respond(id, { 503, core::ResultCode::NoEndpoint, "versions_not_listed", retryAfterStartup });
+    }
 }
 
 void Gateway::noteStreamOrigin(const Flow& flow, core::TimePoint now)
@@ -443,10 +466,14 @@
 
 void Gateway::dispatchWhenPrepared(FlowId id)
 {
-    const auto* const flow = this->find(id);
+    auto* const flow = this->find(id);
     if (flow == nullptr || flow->waitsForBudget || flow->waitsForHistory || flow->waitsForStreamVersion
         || flow->attempts > 0 || flow->rateLimitWait)
         return;
+    flow->waitsForListing = flow->route->resumable && !flow->streamVersion
+        && this->dependencies.serviceVersions.listed(flow->service->name).empty();
+    if (flow->waitsForListing)
+        return;
     this->dispatch(id, core::monotonicNow());
 }
 
--- a/tests/GatewayStreamVersionTests.cpp
+++ b/tests/GatewayStreamVersionTests.cpp
@@ -196,6 +196,26 @@
     testing::Values(OutOfStepCase { "CutOff", false, 503 }, OutOfStepCase { "OutageForAll", true, 200 }),
     [](const auto& info) { return info.param.name; });
 
+// Guards against streams that begin at a version which no row lists: a node that knows only the other version would
+// resume them there.
+TEST(GatewayStreamVersion, NoStreamBeginsBeforeItsVersionIsListed)
+{
+    GatewayWorld world;
+    world.store.fault = StoreFault::Down;
+    ScriptedEndpoint first(world.context, { brokenStream("v1") });
+    ScriptedEndpoint second(world.context, { brokenStream("v2") });
+    world.serve(resumableRoute(), { &first, &second }, { "v1", "v2" });
+    const auto refused = world.ask("a");
+    EXPECT_EQ(refused->status, 503);
+    EXPECT_TRUE(first.requests.empty() && second.requests.empty());
+
+    const auto waiting = world.call("b");
+    world.store.fault = StoreFault::None;
+    ASSERT_TRUE(runUntil(world.context, [&waiting] { return waiting->end.has_value(); }));
+    EXPECT_EQ(waiting->status, 200);
+    EXPECT_EQ(world.versions.listed("s"), (std::set<std::string> { "v1", "v2" }));
+}
+
 // Guards against refusing streams of a version that still serves when the memory of all nodes is lost.
 TEST(GatewayStreamVersion, AStreamIsResumedAfterTheLossOfAllNodesByItsRow)
 {
