Check the version of an endpoint after waiting for its rate limit

A caller's resumption that waited for the rate limit of an endpoint was sent there although another software version had started under the endpoint's id meanwhile, and got the rest of the stream from that version (rule ORDER).

Cause: after the wait only the service of the endpoint was checked again, not its version. The call is now placed anew if the endpoint's version no longer permits it.

Evidence: AResumptionThatWaitsForARateLimitDoesNotReachAnotherVersion failed against the code before: call_sent with endpoint_version=v2 for a stream of v1, answered with 200.

--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -176,7 +176,12 @@
 {
     const auto wait = *std::exchange(flow.rateLimitWait, std::nullopt);
     const auto& serving = this->dependencies.endpointDirectory.servingEndpoints(flow.service->name);
-    if (!std::binary_search(serving.begin(), serving.end(), wait.endpoint)) {
+    const bool serves = std::binary_search(serving.begin(), serving.end(), wait.endpoint);
+    // Another process may have started under the endpoint's id meanwhile.
+    const auto versions = this->permittedVersions(flow);
+    if (!serves
+        || (!versions.empty()
+            && !versions.contains(this->dependencies.endpointDirectory.find(wait.endpoint)->entry.version))) {
         this->dispatch(flow.id, now);
         return;
     }
--- a/tests/GatewayStreamVersionTests.cpp
+++ b/tests/GatewayStreamVersionTests.cpp
@@ -216,6 +216,24 @@
     EXPECT_EQ(world.versions.listed("s"), (std::set<std::string> { "v1", "v2" }));
 }
 
+// Guards against joined versions when the endpoint that a resumption waits for is replaced by another version.
+TEST(GatewayStreamVersion, AResumptionThatWaitsForARateLimitDoesNotReachAnotherVersion)
+{
+    GatewayWorld world;
+    auto answer = brokenStream("v1");
+    answer.bytes.insert(answer.bytes.find("\r\n") + 2, "Server-Limit: 50\r\n");
+    ScriptedEndpoint endpoint(world.context, { answer });
+    world.serve(resumableRoute(), { &endpoint }, { "v1" });
+    EXPECT_TRUE(contains(*world.ask("a"), "v1"));
+    const auto resumed = world.call("b", resumption("a"));
+    ASSERT_TRUE(runUntil(world.context, [&world] { return world.gateway.callsInProgress() == 1; }));
+    world.directory.upsert({ "i-1", "s", endpoint.address(), "z", 4, false, 1, "v2" }, core::monotonicNow());
+    ASSERT_TRUE(runUntil(world.context, [&resumed] { return resumed->end.has_value(); }));
+    EXPECT_EQ(resumed->status, 503);
+    EXPECT_TRUE(std::none_of(endpoint.requests.begin(), endpoint.requests.end(),
+        [](const auto& request) { return request.find("Last-Event-Id") != std::string::npos; }));
+}
+
 // Guards against refusing streams of a version that still serves when the memory of all nodes is lost.
 TEST(GatewayStreamVersion, AStreamIsResumedAfterTheLossOfAllNodesByItsRow)
 {
