Don't take an answer that ends early for whole

Callers of `lagoontiller serve` got a tool's answer that ended in its head or in a body without Content-Length and chunks as a result: status 0 or 200 with an empty or short body. The call ledger recorded it, so that the same key got it again. Object reads returned the part that had arrived, writes whose answer ended in its head counted as stored, and a 404 of a dying store said that the object doesn't exist.

Cause: libcurl reports CURLE_OK when the connection closes in order within the head, or in a body that states no end. A killed process closes in order, too.

http::Client now ends such a response with FailureKind::Interrupted. Each user of the client already treats that as "may have run": a repeatable call is sent again, any other gets outcome_unknown, the stores report unavailable or unknown outcomes. Engine streams were safe before (they need `data: [DONE]`) and stay complete with it.

--- a/source/http/Message.h
+++ b/source/http/Message.h
@@ -46,9 +46,9 @@
 enum class FailureKind : int {
     /// No connection was established; no byte of the request was sent.
     NotConnected,
-    /// The request may have been sent; no byte of a response was received.
+    /// The request may have been sent; no line of a response was received.
     NoAnswer,
-    /// The response started and was not completed.
+    /// The response started and was not completed, or has neither a length nor chunks, so that its end is unknown.
     Interrupted,
     /// The response did not start within `firstByteTimeout` or `totalTimeout`.
     FirstByteTimeout,
--- a/source/http/impl/Transfer.cpp
+++ b/source/http/impl/Transfer.cpp
@@ -14,6 +14,18 @@
     return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
 }
 
+bool isChunked(const Headers& headers)
+{
+    const auto encodings = headerValue(headers, "Transfer-Encoding");
+    const auto comma = encodings.rfind(',');
+    return sameName(trim(comma == std::string_view::npos ? encodings : encodings.substr(comma + 1)), "chunked");
+}
+
+bool hasNoBody(int status) noexcept
+{
+    return status == 204 || status == 304;
+}
+
 } // namespace
 
 Transfer::Transfer(RequestId id, Request request, Client::Handler handler, core::TimePoint now)
@@ -127,6 +139,13 @@
     return FailureKind::NoAnswer;
 }
 
+bool Transfer::isFramed() const
+{
+    curl_off_t length = -1;
+    curl_easy_getinfo(this->easyHandle, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+    return length >= 0 || hasNoBody(this->head.status) || isChunked(this->head.headers);
+}
+
 void Transfer::finish(CURLcode result)
 {
     if (this->ended)
@@ -135,6 +154,15 @@
         this->fail(this->failureKindFor(result), curl_easy_strerror(result));
         return;
     }
+    // libcurl reports success if the connection closes within the head, or in a body without a length or chunks.
+    if (!this->headDelivered) {
+        this->fail(FailureKind::Interrupted, "the response ended in its head");
+        return;
+    }
+    if (!this->isFramed()) {
+        this->fail(FailureKind::Interrupted, "the response has neither a length nor chunks");
+        return;
+    }
     this->ended = true;
     this->handler(ResponseEnd {});
 }
--- a/source/http/impl/Transfer.h
+++ b/source/http/impl/Transfer.h
@@ -30,6 +30,8 @@
     static std::size_t onBody(char* data, std::size_t size, std::size_t count, void* userData);
     void configure();
     void deliverHead();
+    /// \brief Whether the response states where its body ends.
+    [[nodiscard]] bool isFramed() const;
     [[nodiscard]] FailureKind failureKindFor(CURLcode result) const;
 
     RequestId requestId;
--- a/tests/HttpClientTests.cpp
+++ b/tests/HttpClientTests.cpp
@@ -1,7 +1,10 @@
 #include "http/Client.h"
+#include "objects/ObjectClient.h"
+#include "services/ServiceClient.h"
 
 #include <asio.hpp>
 #include <condition_variable>
+#include <future>
 
 namespace lagoontiller::http {
 
@@ -34,10 +37,11 @@
             thread.join();
     }
 
-    [[nodiscard]] std::string url() const
+    [[nodiscard]] std::string address() const
     {
-        return "http://127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()) + "/x";
+        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
     }
+    [[nodiscard]] std::string url() const { return "http://" + this->address() + "/x"; }
     [[nodiscard]] int requests() const { return this->received; }
 
     /// \brief Reads one request head and body; false at the end of the connection.
@@ -115,20 +119,45 @@
 
 const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n";
 
-std::vector<FailureCase> failureCases()
+const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+void close(asio::ip::tcp::socket& socket)
 {
-    const auto close = [](asio::ip::tcp::socket& socket) {
-        asio::error_code ignored;
-        socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    asio::error_code ignored;
+    socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+}
+
+ScriptedServer::Script sendAndClose(const std::string& bytes)
+{
+    return [bytes](auto& socket, int) {
+        ScriptedServer::send(socket, bytes);
+        close(socket);
     };
+}
+
+FailureCase sentAndClosed(const std::string& name, const std::string& bytes)
+{
+    return { name, sendAndClose(bytes), FailureKind::Interrupted };
+}
+
+std::vector<FailureCase> failureCases()
+{
     return {
-        { "ClosedBeforeAnswer", [close](auto& socket, int) { close(socket); }, FailureKind::NoAnswer },
-        { "ClosedInAnswer",
-            [close](auto& socket, int) {
-                ScriptedServer::send(socket, head + "half");
-                close(socket);
-            },
-            FailureKind::Interrupted },
+        { "ClosedBeforeAnswer", [](auto& socket, int) { close(socket); }, FailureKind::NoAnswer },
+        sentAndClosed("ClosedInAnswer", head + "half"),
+        { "ClosedInStatusLine", sendAndClose("HTTP/1.1 20"), FailureKind::NoAnswer },
+        sentAndClosed("ClosedAfterStatusLine", "HTTP/1.1 200 OK\r\n"),
+        sentAndClosed("ClosedInHeaders", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Le"),
+        sentAndClosed("ClosedAfterInterimHead", "HTTP/1.1 100 Continue\r\n\r\n"),
+        sentAndClosed("ClosedBeforeUnframedBody", "HTTP/1.1 200 OK\r\n\r\n"),
+        sentAndClosed("ClosedInUnframedBody", "HTTP/1.1 200 OK\r\n\r\nhalf"),
+        sentAndClosed("ClosedInUnframedIdentity", "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nhalf"),
+        sentAndClosed("ClosedInOldUnframedBody", "HTTP/1.0 200 OK\r\nConnection: close\r\n\r\nhalf"),
+        sentAndClosed("ClosedInUnframedError", "HTTP/1.1 404 Not Found\r\n\r\n"),
+        sentAndClosed("ClosedBeforeFirstChunk", chunkedHead),
+        sentAndClosed("ClosedInChunk", chunkedHead + "8\r\nhalf"),
+        sentAndClosed("ClosedBeforeLastChunk", chunkedHead + "4\r\nhalf\r\n"),
+        sentAndClosed("ClosedInLastChunk", chunkedHead + "4\r\nhalf\r\n0\r\n"),
         { "SilentBeforeFirstByte", [](auto&, int) {}, FailureKind::FirstByteTimeout },
         { "SilentInAnswer", [](auto& socket, int) { ScriptedServer::send(socket, head + "half"); },
             FailureKind::SilenceTimeout },
@@ -137,9 +166,21 @@
 
 class HttpFailures : public testing::TestWithParam<FailureCase> { };
 
+struct WholeAnswer {
+    std::string name;
+    std::string bytes;
+    int status;
+    std::string body;
+};
+
+class WholeAnswers : public testing::TestWithParam<WholeAnswer> { };
+class CutObjectAnswers : public testing::TestWithParam<std::string> { };
+class CutServiceAnswers : public testing::TestWithParam<std::string> { };
+
 } // namespace
 
-// Guards against a silent or broken connection that is not detected, and against a wrong "not run".
+// Guards against a silent or broken connection that is not detected, against a wrong "not run", and against an answer
+// that ends early and is taken for whole.
 TEST_P(HttpFailures, AreDistinguished)
 {
     ScriptedServer server(GetParam().script);
@@ -152,6 +193,76 @@
 INSTANTIATE_TEST_SUITE_P(
     Table, HttpFailures, testing::ValuesIn(failureCases()), [](const auto& info) { return info.param.name; });
 
+// Guards against a whole answer that is taken for cut off because it has no body or because its connection closes.
+TEST_P(WholeAnswers, AreDelivered)
+{
+    ScriptedServer server(sendAndClose(GetParam().bytes));
+    Client client;
+    const auto result = fetch(client, requestTo(server.url()));
+    ASSERT_TRUE(result.has_value()) << result.error().message;
+    EXPECT_EQ(result->status, GetParam().status);
+    EXPECT_EQ(result->body, GetParam().body);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, WholeAnswers,
+    testing::Values(WholeAnswer { "Length", "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody", 200, "body" },
+        WholeAnswer { "LengthZero", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 200, "" },
+        WholeAnswer { "OldWithLength", "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody", 200, "body" },
+        WholeAnswer { "Chunked", chunkedHead + "4\r\nbody\r\n0\r\n\r\n", 200, "body" },
+        WholeAnswer { "ChunkedInCapitals",
+            "HTTP/1.1 200 OK\r\nTRANSFER-ENCODING: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", 200, "body" },
+        WholeAnswer { "ChunkedEmpty", chunkedHead + "0\r\n\r\n", 200, "" },
+        WholeAnswer { "AfterInterimHead",
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", 200, "body" },
+        WholeAnswer { "NoContent", "HTTP/1.1 204 No Content\r\n\r\n", 204, "" },
+        WholeAnswer { "NotModified", "HTTP/1.1 304 Not Modified\r\n\r\n", 304, "" }),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against an object that counts as stored, and one that is read short, because the store's answer ended early.
+TEST_P(CutObjectAnswers, AreErrors)
+{
+    ScriptedServer server(sendAndClose(GetParam()));
+    Client client;
+    const objects::ObjectClient store(client, server.address());
+    std::promise<core::Expected<void>> written;
+    store.put("key", "bytes", [&](core::Expected<void> result) { written.set_value(std::move(result)); });
+    const auto put = written.get_future().get();
+    EXPECT_FALSE(put.has_value());
+    EXPECT_EQ(put ? core::ResultCode() : put.error().code, core::ResultCode::StoreUnavailable);
+    std::promise<core::Expected<std::optional<std::string>>> fetched;
+    store.get("key", [&](auto result) { fetched.set_value(std::move(result)); });
+    const auto get = fetched.get_future().get();
+    ASSERT_FALSE(get.has_value()) << get->value_or("no object");
+    EXPECT_EQ(get.error().code, core::ResultCode::StoreUnavailable);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, CutObjectAnswers,
+    testing::Values("HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\n\r\nhalf", "HTTP/1.1 404 Not Found\r\n\r\n"));
+
+// Guards against a tool's answer that ended early and is recorded as the result of its call.
+TEST_P(CutServiceAnswers, MayHaveRun)
+{
+    ScriptedServer server(sendAndClose(GetParam()));
+    Client client;
+    const services::ServiceClient tools(client);
+    for (const bool repeatable : { false, true }) {
+        services::ServiceRequest request;
+        request.endpoint = server.address();
+        request.path = "/x";
+        request.repeatable = repeatable;
+        std::promise<core::Expected<services::ServiceResponse>> answered;
+        tools.call(request, [&](auto result) { answered.set_value(std::move(result)); });
+        const auto answer = answered.get_future().get();
+        ASSERT_FALSE(answer.has_value()) << answer->status << ' ' << answer->body;
+        EXPECT_EQ(answer.error().code, core::ResultCode::EndpointFailed);
+        EXPECT_EQ(answer.error().ran, core::RunState::MayHaveRun);
+    }
+    EXPECT_EQ(server.requests(), 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, CutServiceAnswers,
+    testing::Values("HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n{\"done\":"));
+
 // Guards against a refusal that says "may have run" although nothing was sent, which would block a retry.
 TEST(HttpClient, RefusedConnectionIsNotConnected)
 {
