Close the connection of an answer that was cut off

Callers got a cut answer with its last chunk, framed as whole. When the owner of a program died after the head of an answer that another node passed on, or messages between the nodes were lost, a caller saw 200 with an empty or short JSON body and no sign of the loss.

Cause: HttpServer ignored `complete` in ResponseStream::end() and always ended the chunked body, although PeerNetwork passes on that the stream has a gap.

A response that isn't complete is now ended without its last chunk, and its connection is closed after the parts that were already sent. RESTinio has no public call for this; the write goes through the connection that its response builder uses, as RESTinio's WebSocket upgrade does.

Test: CutAfterHead and CutAfterData of HttpServerTests failed when linked to the old server (both ended with "0\r\n\r\n"); all four cases pass with the fix.

--- a/source/callers/HttpServer.cpp
+++ b/source/callers/HttpServer.cpp
@@ -83,18 +83,29 @@
     return { restinio::http_status_code_t(static_cast<std::uint16_t>(status)), reason };
 }
 
+/// \brief Closes the connection after the parts of the response that were already flushed, without the last chunk.
+void cutOff(const restinio::impl::connection_handle_t& connection, restinio::request_id_t request)
+{
+    connection->write_response_parts(request,
+        { restinio::response_parts_attr_t::final_parts, restinio::response_connection_attr_t::connection_close },
+        restinio::write_group_t { restinio::writable_items_container_t {} });
+}
+
 ResponseStream::Target makeTarget(
     const restinio::request_handle_t& request, const std::shared_ptr<std::weak_ptr<ResponseStream>>& self)
 {
     ResponseStream::Target target;
     auto chunked = std::make_shared<std::shared_ptr<ChunkedResponse>>();
+    auto connection = std::make_shared<restinio::impl::connection_handle_t>();
     target.respond = [request](int status, const http::Headers& headers, std::string body) {
         auto response = request->create_response(statusLine(status));
         for (const auto& header : headers)
             response.append_header(header.name, header.value);
         response.set_body(std::move(body)).done();
     };
-    target.begin = [request, chunked](int status, const http::Headers& headers) {
+    target.begin = [request, chunked, connection](int status, const http::Headers& headers) {
+        // The response builder moves the connection out of the request.
+        *connection = restinio::impl::access_req_connection(*request);
         *chunked = std::make_shared<ChunkedResponse>(
             request->create_response<restinio::chunked_output_t>(statusLine(status)));
         for (const auto& header : headers)
@@ -110,9 +121,13 @@
                 stream->markDisconnected();
         });
     };
-    target.end = [chunked](bool) {
-        (*chunked)->done();
+    target.end = [chunked, connection, id = request->request_id()](bool complete) {
+        if (complete)
+            (*chunked)->done();
+        else
+            cutOff(*connection, id);
         chunked->reset();
+        connection->reset();
     };
     return target;
 }
--- a/source/callers/ResponseStream.h
+++ b/source/callers/ResponseStream.h
@@ -20,7 +20,7 @@
         std::function<void(int status, const http::Headers&, std::string body)> respond;
         std::function<void(int status, const http::Headers&)> begin;
         std::function<void(std::string bytes)> data;
-        /// \brief `complete` is false if the response was cut off. The target may ignore it, as HttpServer does.
+        /// \brief `complete` is false if the response was cut off; the target must not end it like a complete one.
         std::function<void(bool complete)> end;
     };
 
