Ignore events of an engine after its [DONE]

Text that an engine sent after `data: [DONE]` was passed on to the caller and stored as part of the turn, so that two runs could be joined into one answer.

Cause: Generation noted [DONE] and went on to deliver events until the response ended. It now ignores all events after it.

Tests: EngineAnswer.EndsWithItsDoneEvent failed when linked to the old code and passes now. EngineAnswer.CutAnywhereHasFailed passed before: a stream cut at any byte before the end of [DONE], also right after its finish_reason, has failed.

--- a/source/engines/impl/Generation.cpp
+++ b/source/engines/impl/Generation.cpp
@@ -41,6 +41,8 @@
 
 void Generation::handleEvent(std::string_view payload)
 {
+    if (this->doneReceived)
+        return;
     if (payload == "[DONE]") {
         this->doneReceived = true;
         return;
--- a/tests/EngineAnswerTests.cpp
+++ b/tests/EngineAnswerTests.cpp
@@ -65,6 +65,31 @@
     EXPECT_EQ(result.failed, 1);
 }
 
+// Guards against an answer with text of a second run: events after the end are no part of it.
+TEST(EngineAnswer, EndsWithItsDoneEvent)
+{
+    for (std::size_t piece = 1; piece < 40; ++piece) {
+        const auto result = receive(text + usage + done + text + done, piece);
+        EXPECT_EQ(result.text, "one two");
+        EXPECT_EQ(result.finished, 1);
+    }
+}
+
+// Guards against an answer that is complete without its end: the stream is cut at each byte before the end of [DONE].
+TEST(EngineAnswer, CutAnywhereHasFailed)
+{
+    const auto finish = R"(data: {"choices":[{"delta":{},"finish_reason":"stop"}]})"
+                        "\n\n";
+    const auto whole = text + finish + usage + "data: [DONE]\n";
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        const auto result = receive(whole.substr(0, length), 16);
+        EXPECT_EQ(result.finished, 0) << length;
+        EXPECT_EQ(result.failed, 1) << length;
+        EXPECT_TRUE(std::string("one two").starts_with(result.text)) << length;
+    }
+    EXPECT_EQ(receive(whole, 16).finished, 1);
+}
+
 // Guards against a crash of the node on an engine event with a field of an unexpected type.
 TEST_P(HostileEvents, AreIgnored)
 {
