Test forwarded streams with repeated and reordered messages

The existing property loses messages only. The new one repeats, reorders and loses them: the caller always gets a prefix of the answer, and the end is reported as complete only after all parts. It passes on the unchanged code: the sequence numbers of data and end prevent anything else.

--- a/tests/ForwardStreamsTests.cpp
+++ b/tests/ForwardStreamsTests.cpp
@@ -138,6 +138,30 @@
     RC_ASSERT(pair.a.openedCount() == 0U);
 }
 
+// Guards against an answer with a repeated or reordered part, and against one that is reported as complete without all
+// of its parts.
+RC_GTEST_PROP(ForwardStreams, RepeatedAndReorderedMessagesNeverChangeTheAnswer, ())
+{
+    StreamPair pair;
+    const auto key = pair.open();
+    pair.deliver();
+    answer(pair, key, { "x", "y", "z" });
+    const auto sent = pair.inFlight;
+    pair.inFlight.clear();
+    const auto positions = *rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(0, sent.size()));
+    for (const auto position : positions)
+        pair.inFlight.push_back(sent[position]);
+    pair.deliver();
+    std::string received;
+    for (const auto& event : pair.events) {
+        if (event.starts_with("a data "))
+            received += event.substr(std::string_view("a data ").size());
+    }
+    RC_ASSERT(std::string("xyz").starts_with(received));
+    if (pair.count(endEvent(StreamEndReason::Complete)) > 0)
+        RC_ASSERT(received == "xyz");
+}
+
 // Guards against callers that wait indefinitely for a dead owner, and owners that run calls for a dead entry node.
 TEST(ForwardStreams, LostPeerEndsItsStreamsOnly)
 {
