Don't take bytes after an answer for the next answer

When a server sent bytes after the end of its answer, the next request on the kept connection got them as its answer: the result of another call, or the 408 of a server that gives up an idle connection. Each further request on the connection then got the answer of the one before it.

Before a request is sent on a reused connection, the client now looks for unread bytes or an end of the connection. If there are any, nothing is sent and the transfer starts again on a new connection. libcurl names the connection by its addresses only (CURLINFO_ACTIVESOCKET is -1 at that point), so that the client keeps the sockets by address. Bytes that arrive only after the next request was sent still can't be told from its answer; HTTP/1.1 has nothing to tell them by. Calls that may not be repeated use a new connection and were not affected.

--- a/source/http/Client.cpp
+++ b/source/http/Client.cpp
@@ -39,8 +39,8 @@
     {
         const RequestId id = ++this->lastId;
         this->enqueue([this, id, request = std::move(request), handler = std::move(handler)]() mutable {
-            auto transfer
-                = std::make_unique<impl::Transfer>(id, std::move(request), std::move(handler), core::monotonicNow());
+            auto transfer = std::make_unique<impl::Transfer>(
+                id, std::move(request), std::move(handler), this->connections, core::monotonicNow());
             curl_multi_add_handle(this->multi, transfer->handle());
             this->transfers.emplace(id, std::move(transfer));
         });
@@ -103,6 +103,10 @@
             impl::Transfer* transfer = nullptr;
             curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
             curl_multi_remove_handle(this->multi, transfer->handle());
+            if (transfer->selectNewConnection()) {
+                curl_multi_add_handle(this->multi, transfer->handle());
+                continue;
+            }
             transfer->finish(result);
             this->transfers.erase(transfer->id());
         }
@@ -134,6 +138,7 @@
         transfer->fail(kind, std::string(name(kind)));
     }
 
+    impl::ConnectionTable connections;
     CURLM* multi = nullptr;
     std::thread thread;
     std::atomic<bool> stopping { false };
--- a/source/http/impl/Transfer.cpp
+++ b/source/http/impl/Transfer.cpp
@@ -28,10 +28,12 @@
 
 } // namespace
 
-Transfer::Transfer(RequestId id, Request request, Client::Handler handler, core::TimePoint now)
+Transfer::Transfer(
+    RequestId id, Request request, Client::Handler handler, ConnectionTable& connections, core::TimePoint now)
     : requestId(id)
     , request(std::move(request))
     , handler(std::move(handler))
+    , connections(connections)
     , easyHandle(curl_easy_init())
     , startTime(now)
     , lastActivity(now)
@@ -58,6 +60,13 @@
     curl_easy_setopt(this->easyHandle, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(this->easyHandle, CURLOPT_WRITEFUNCTION, &Transfer::onBody);
     curl_easy_setopt(this->easyHandle, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(this->easyHandle, CURLOPT_OPENSOCKETFUNCTION, &Transfer::onOpenSocket);
+    curl_easy_setopt(this->easyHandle, CURLOPT_OPENSOCKETDATA, this);
+    // The connection keeps these two beyond this transfer.
+    curl_easy_setopt(this->easyHandle, CURLOPT_CLOSESOCKETFUNCTION, &Transfer::onCloseSocket);
+    curl_easy_setopt(this->easyHandle, CURLOPT_CLOSESOCKETDATA, &this->connections);
+    curl_easy_setopt(this->easyHandle, CURLOPT_PREREQFUNCTION, &Transfer::onConnected);
+    curl_easy_setopt(this->easyHandle, CURLOPT_PREREQDATA, this);
     if (this->request.freshConnection) {
         curl_easy_setopt(this->easyHandle, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(this->easyHandle, CURLOPT_FORBID_REUSE, 1L);
@@ -75,6 +84,47 @@
     curl_easy_setopt(this->easyHandle, CURLOPT_HTTPHEADER, this->headerList);
 }
 
+curl_socket_t Transfer::onOpenSocket(void* userData, curlsocktype, curl_sockaddr* address)
+{
+    auto& transfer = *static_cast<Transfer*>(userData);
+    transfer.openedSocket = ConnectionTable::open(*address);
+    return transfer.openedSocket;
+}
+
+int Transfer::onCloseSocket(void* userData, curl_socket_t socket)
+{
+    return static_cast<ConnectionTable*>(userData)->close(socket);
+}
+
+int Transfer::onConnected(void* userData, char* remoteAddress, char* localAddress, int remotePort, int localPort)
+{
+    auto& transfer = *static_cast<Transfer*>(userData);
+    const auto addresses = std::string(localAddress) + ' ' + std::to_string(localPort) + ' ' + remoteAddress + ' '
+        + std::to_string(remotePort);
+    if (!transfer.usesReusedConnection()) {
+        transfer.connections.insert(addresses, transfer.openedSocket);
+        return CURL_PREREQFUNC_OK;
+    }
+    // libcurl reuses a connection with unread bytes and would take them for the answer.
+    transfer.connectionRefused = transfer.connections.isReadable(addresses);
+    return transfer.connectionRefused ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+bool Transfer::usesReusedConnection() const
+{
+    long connections = 0;
+    curl_easy_getinfo(this->easyHandle, CURLINFO_NUM_CONNECTS, &connections);
+    return connections == 0;
+}
+
+bool Transfer::selectNewConnection()
+{
+    if (!std::exchange(this->connectionRefused, false))
+        return false;
+    curl_easy_setopt(this->easyHandle, CURLOPT_FRESH_CONNECT, 1L);
+    return true;
+}
+
 std::size_t Transfer::onHeader(char* data, std::size_t size, std::size_t count, void* userData)
 {
     auto& transfer = *static_cast<Transfer*>(userData);
@@ -131,10 +181,7 @@
         return FailureKind::Interrupted;
     curl_off_t connected = 0;
     curl_easy_getinfo(this->easyHandle, CURLINFO_CONNECT_TIME_T, &connected);
-    long connections = 0;
-    curl_easy_getinfo(this->easyHandle, CURLINFO_NUM_CONNECTS, &connections);
-    const bool reused = connections == 0;
-    if (result == CURLE_COULDNT_CONNECT || (connected == 0 && !reused))
+    if (result == CURLE_COULDNT_CONNECT || (connected == 0 && !this->usesReusedConnection()))
         return FailureKind::NotConnected;
     return FailureKind::NoAnswer;
 }
--- a/tests/HttpClientTests.cpp
+++ b/tests/HttpClientTests.cpp
@@ -177,6 +177,16 @@
 class CutObjectAnswers : public testing::TestWithParam<std::string> { };
 class CutServiceAnswers : public testing::TestWithParam<std::string> { };
 
+struct Surplus {
+    std::string name;
+    std::string status;
+    /// \brief Whether the surplus comes with the end of the answer, or on the idle connection.
+    bool atOnce;
+    bool closes;
+};
+
+class SurplusBytes : public testing::TestWithParam<Surplus> { };
+
 } // namespace
 
 // Guards against a silent or broken connection that is not detected, against a wrong "not run", and against an answer
@@ -299,6 +309,47 @@
     EXPECT_EQ(server.requests(), 2);
 }
 
+// Guards against bytes after an answer that are taken for the answer to the next request on the connection, for example
+// those of a server that answers 408 on an idle connection before it closes it.
+TEST_P(SurplusBytes, AreNotTheNextAnswer)
+{
+    const auto answer = [](const std::string& status, const std::string& body) {
+        return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    std::promise<void> received;
+    std::promise<void> surplusSent;
+    ScriptedServer server([&](asio::ip::tcp::socket& socket, int request) {
+        const auto surplus = answer(GetParam().status, "surplus");
+        ScriptedServer::send(socket, answer("200 OK", "own") + (GetParam().atOnce && request == 1 ? surplus : ""));
+        if (request > 1)
+            return;
+        received.get_future().wait();
+        if (!GetParam().atOnce)
+            ScriptedServer::send(socket, surplus);
+        if (GetParam().closes)
+            close(socket);
+        surplusSent.set_value();
+    });
+    Client client;
+    for (int request = 1; request <= 3; ++request) {
+        const auto result = fetch(client, requestTo(server.url()));
+        if (request == 1) {
+            received.set_value();
+            surplusSent.get_future().wait();
+        }
+        ASSERT_TRUE(result.has_value()) << result.error().message;
+        EXPECT_EQ(result->status, 200);
+        EXPECT_EQ(result->body, "own");
+    }
+    EXPECT_EQ(server.requests(), 3);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, SurplusBytes,
+    testing::Values(Surplus { "WithTheAnswer", "200 OK", true, false },
+        Surplus { "AfterTheAnswer", "200 OK", false, false },
+        Surplus { "TimeoutOfAnIdleConnection", "408 Request Timeout", false, true }),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against a handler that does not get its final event when the client stops.
 TEST(HttpClient, EveryRequestEndsWhenTheClientStops)
 {
