Ask for the origin of a stream at a node that has just started

Cause: such a node knows one configuration, so only one service seemed possible, and it asked nobody. A node whose first configuration is younger than the time for which a stream can be resumed now asks its peers and the store first, and decides by the route only if no note is found.

Evidence: ANodeThatStartsAfterAMoveDoesNotResumeAtTheNewService failed against the code before: 200 by the new service.

--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -87,20 +87,25 @@
     void handleBudgetAnswer(FlowId id, BudgetAnswer answer);
     void loadHistory(FlowId id);
     void handleHistory(FlowId id, tl::expected<Chain, HistoryFailure> chain);
+    void dispatchWhenPrepared(FlowId id);
+
+    // Resumption (GatewayResumption.cpp).
     /// \brief Finds the service and the software version that began the stream that the call resumes.
     void findStreamOrigin(FlowId id);
-    /// \brief Looks for the origin at other nodes and in the store; refuses the call if it is not known there.
-    void searchStreamOrigin(FlowId id);
+    /// \brief Resumes the stream at the only version of its service that may have begun it; calls `otherwise` if there
+    /// are several.
+    void resumeAtOnlyVersion(FlowId id, const std::function<void()>& otherwise);
+    /// \brief Looks for the origin at other nodes and in the store; calls `ifUnknown` if it is not known there.
+    void searchStreamOrigin(FlowId id, const std::function<void()>& ifUnknown);
     /// \brief Services that may have begun the stream that the call resumes.
     [[nodiscard]] std::set<std::string> originServices(const Flow& flow) const;
     /// \brief Resumes the stream at its origin, or refuses the call if its route no longer permits that service.
     void resumeAtOrigin(FlowId id, const StreamOrigin& origin);
     void resumeAtVersion(FlowId id, const std::optional<std::string>& version);
     void refuseResumption(FlowId id, std::string_view cause);
-    /// \brief Sends the calls that have waited for a listed version of their service, and refuses those that have waited
-    /// too long.
+    /// \brief Sends the calls that have waited for a listed version of their service, and refuses those that have
+    /// waited too long.
     void dispatchListed(core::TimePoint now);
-    void dispatchWhenPrepared(FlowId id);
 
     /// \brief Whether the engines of the call's service have room for a new program; always true for other services.
     [[nodiscard]] bool admitsNewProgram(const Flow& flow, core::TimePoint now);
@@ -166,6 +171,8 @@
     CallDurations callDurations;
     RouteTable routes;
     FormerRoutes formerRoutes;
+    /// \brief Time of the first configuration.
+    core::TimePoint configuredSince {};
     std::unordered_map<std::string, std::shared_ptr<const Service>> services;
     /// \brief Services of resumable routes, and whether several software versions of them were in service last.
     std::map<std::string, bool> resumableServices;
--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -23,48 +23,6 @@
 /// \brief Retry delay for callers while no configuration has been loaded yet.
 constexpr core::Duration retryAfterStartup = std::chrono::milliseconds(500);
 
-/// \brief Time that a node may need to list a new software version, and to notice that one has left.
-constexpr core::Duration versionListingMargin = std::chrono::seconds(5);
-/// \brief Longest time for which a stream waits until a version of its service is listed; callers abandon a stream
-/// after 2 s without an event.
-constexpr core::Duration maxListingWait = std::chrono::milliseconds(1'000);
-
-/// \brief Time after its start within which a stream of the route may be resumed: callers resume it within their
-/// deadline, which can be later than the time-out of the route.
-core::Duration resumptionTime(const Route& route)
-{
-    return route.timeout * 2;
-}
-
-/// \brief Time for which a stream's origin matters after a service or a software version of it has left.
-core::Duration originWindow(const Route& route)
-{
-    return resumptionTime(route) + versionListingMargin;
-}
-
-/// \brief Name of the stream that the call begins or resumes.
-const std::string& streamName(const Call& call)
-{
-    return call.resumedStream.empty() ? call.id : call.resumedStream;
-}
-
-/// \brief Id that selects one of the services of a route; a resumption has that of the call that began the stream.
-/// Empty if it is not known.
-std::optional<std::string> placementId(const Call& call)
-{
-    if (!call.program.empty())
-        return call.program;
-    if (!call.lastEvent)
-        return call.id;
-    return call.resumedStream.empty() ? std::nullopt : std::optional(call.resumedStream);
-}
-
-bool sendsTo(const Route& route, const std::string& service)
-{
-    return std::any_of(route.services.begin(), route.services.end(),
-        [&service](const auto& each) { return each.service == service && each.weight > 0; });
-}
-
 /// \brief Digest of the content and the caller of a request, equal when the caller sends the request again.
 std::string requestDigest(const Call& call)
 {
@@ -105,7 +63,9 @@
 
 void Gateway::configure(std::shared_ptr<const Configuration> next, core::TimePoint now)
 {
-    if (this->configuration)
+    if (!this->configuration)
+        this->configuredSince = now;
+    else
         this->formerRoutes.replace(*this->configuration, *next, now);
     this->routes = RouteTable(next->routes);
     this->services.clear();
@@ -319,151 +279,6 @@
     this->dispatchWhenPrepared(id);
 }
 
-std::set<std::string> Gateway::originServices(const Flow& flow) const
-{
-    const auto id = placementId(flow.call);
-    const auto key = id ? std::optional(core::hash64(*id)) : std::nullopt;
-    return this->formerRoutes.servicesWithin(*flow.route, key, originWindow(*flow.route), flow.arrivedAt);
-}
-
-void Gateway::findStreamOrigin(FlowId id)
-{
-    const auto& flow = *this->find(id);
-    if (const auto origin = this->dependencies.peerService.knownStream(streamName(flow.call))) {
-        this->resumeAtOrigin(id, *origin);
-        return;
-    }
-    if (this->originServices(flow).size() != 1) {
-        this->searchStreamOrigin(id);
-        return;
-    }
-    this->dependencies.serviceVersions.inServiceWithin(
-        flow.service->name, originWindow(*flow.route), [this, id](ServiceVersions::Candidates candidates) {
-            const auto* const waiting = this->find(id);
-            if (waiting == nullptr)
-                return;
-            // No node has listed a version yet.
-            if (candidates && candidates->empty())
-                candidates = this->dependencies.endpointDirectory.versions(waiting->service->name);
-            if (candidates && candidates->size() <= 1) {
-                this->resumeAtVersion(id, candidates->empty() ? std::nullopt : std::optional(*candidates->begin()));
-                return;
-            }
-            this->searchStreamOrigin(id);
-        });
-}
-
-void Gateway::searchStreamOrigin(FlowId id)
-{
-    const auto stream = streamName(this->find(id)->call);
-    const auto searched = [this, id](const std::optional<StreamOrigin>& origin) {
-        if (this->find(id) == nullptr)
-            return;
-        if (origin)
-            this->resumeAtOrigin(id, *origin);
-        else
-            this->refuseResumption(id, "stream_origin_unknown");
-    };
-    this->dependencies.peerService.findStream(
-        stream, core::monotonicNow(), [this, id, stream, searched](const std::optional<StreamOrigin>& origin) {
-            if (origin || this->find(id) == nullptr)
-                searched(origin);
-            else
-                this->dependencies.streamVersionRows.read(stream, searched);
-        });
-}
-
-void Gateway::resumeAtOrigin(FlowId id, const StreamOrigin& origin)
-{
-    auto& flow = *this->find(id);
-    if (origin.service.empty()) {
-        if (this->originServices(flow).size() == 1)
-            this->resumeAtVersion(id, origin.version);
-        else
-            this->refuseResumption(id, "stream_origin_unknown");
-        return;
-    }
-    const auto service = this->services.find(origin.service);
-    if (service == this->services.end() || !sendsTo(*flow.route, origin.service)) {
-        this->refuseResumption(id, "stream_service_gone");
-        return;
-    }
-    flow.service = service->second;
-    this->resumeAtVersion(id, origin.version);
-}
-
-void Gateway::resumeAtVersion(FlowId id, const std::optional<std::string>& version)
-{
-    auto& flow = *this->find(id);
-    core::logInfo("stream_resumed")
-        .with("id", flow.call.id)
-        .with("stream", streamName(flow.call))
-        .with("service", flow.service->name)
-        .with("version", version.value_or(std::string("any")))
-        .with("waited_ms", (core::monotonicNow() - flow.arrivedAt).count() / 1'000);
-    flow.streamVersion = version;
-    flow.waitsForStreamVersion = false;
-    this->dispatchWhenPrepared(id);
-}
-
-void Gateway::refuseResumption(FlowId id, std::string_view cause)
-{
-    const auto& flow = *this->find(id);
-    core::logWarning("resumption_refused")
-        .with("id", flow.call.id)
-        .with("stream", streamName(flow.call))
-        .with("cause", cause);
-    this->respond(id, { 503, core::ResultCode::NoEndpoint, cause, {} });
-}
-
-void Gateway::updateServiceVersions(core::TimePoint now)
-{
-    auto& versions = this->dependencies.serviceVersions;
-    for (auto& [service, hadSeveral] : this->resumableServices) {
-        versions.update(service, this->dependencies.endpointDirectory.versions(service), now);
-        const bool several = versions.severalInService(service);
-        if (several == std::exchange(hadSeveral, several) || !several)
-            continue;
-        core::logInfo("several_versions_in_service").with("service", service);
-        // Streams that began before are known to this node only.
-        for (const auto& [id, flow] : this->flows) {
-            if (flow.service && flow.service->name == service && flow.responseStarted && flow.streamVersion)
-                this->noteStreamOrigin(flow, now);
-        }
-    }
-    this->dispatchListed(now);
-}
-
-void Gateway::dispatchListed(core::TimePoint now)
-{
-    std::vector<FlowId> ids;
-    for (const auto& [id, flow] : this->flows) {
-        if (flow.waitsForListing)
-            ids.push_back(id);
-    }
-    for (const auto id : ids) {
-        auto* flow = this->find(id);
-        if (flow == nullptr)
-            continue;
-        flow->waitsForListing = false;
-        this->dispatchWhenPrepared(id);
-        flow = this->find(id);
-        if (flow != nullptr && flow->waitsForListing && now - flow->arrivedAt >= maxListingWait)
-            this->respond(id, { 503, core::ResultCode::NoEndpoint, "versions_not_listed", retryAfterStartup });
-    }
-}
-
-void Gateway::noteStreamOrigin(const Flow& flow, core::TimePoint now)
-{
-    const bool several = this->dependencies.serviceVersions.severalInService(flow.service->name)
-        || this->formerRoutes.changedWithin(*flow.route, originWindow(*flow.route), now);
-    const StreamNote note { streamName(flow.call), { flow.service->name, *flow.streamVersion },
-        resumptionTime(*flow.route) };
-    this->dependencies.peerService.noteStream(note, several, now);
-    if (several)
-        this->dependencies.streamVersionRows.write(note.stream, note.origin, note.resumable, now);
-}
-
 void Gateway::dispatchWhenPrepared(FlowId id)
 {
     auto* const flow = this->find(id);
--- a/source/gateway/RouteTable.cpp
+++ b/source/gateway/RouteTable.cpp
@@ -44,4 +44,13 @@
     return route.services.back().service;
 }
 
+std::optional<std::string> placementId(const Call& call)
+{
+    if (!call.program.empty())
+        return call.program;
+    if (!call.lastEvent)
+        return call.id;
+    return call.resumedStream.empty() ? std::nullopt : std::optional(call.resumedStream);
+}
+
 } // namespace lagoontiller::gateway
--- a/source/gateway/RouteTable.h
+++ b/source/gateway/RouteTable.h
@@ -25,4 +25,8 @@
 /// service. The route must have a service.
 [[nodiscard]] const std::string& chooseService(const Route& route, std::uint64_t key) noexcept;
 
+/// \brief Id that selects one of the services of a route; a resumption has that of the call that began the stream.
+/// Empty if it is not known.
+[[nodiscard]] std::optional<std::string> placementId(const Call& call);
+
 } // namespace lagoontiller::gateway
--- a/tests/GatewayStreamServiceTests.cpp
+++ b/tests/GatewayStreamServiceTests.cpp
@@ -165,6 +165,28 @@
     }
 }
 
+// Guards against a node that started after the route of a stream moved, and so knows the present service only.
+TEST(GatewayStreamService, ANodeThatStartsAfterAMoveDoesNotResumeAtTheNewService)
+{
+    TwoServices before;
+    before.route({ "new" });
+    before.route({ "old" });
+    ASSERT_EQ(origin(*before.world.ask("a")), "old");
+    const auto& rows = before.world.store.rows;
+    const auto isWritten = [&rows] {
+        return std::any_of(rows.begin(), rows.end(),
+            [](const auto& row) { return row.first.table == gateway::StreamVersionRows::table; });
+    };
+    ASSERT_TRUE(runUntil(before.world.context, isWritten));
+
+    TwoServices after;
+    for (const auto& [key, row] : rows)
+        after.world.store.put(key, row.value);
+    after.route({ "new" });
+    EXPECT_EQ(after.world.ask("b", resumption("a"))->status, 503);
+    EXPECT_TRUE(after.newEndpoint.requests.empty());
+}
+
 // Guards against a row of an older build, which does not state the service, that counts for any service.
 TEST(GatewayStreamService, ARowWithoutAServiceDoesNotSayWhichServiceBeganTheStream)
 {
