Remember a stream also by the call that resumed it

A caller whose stream broke twice, and that named the second call when it resumed the stream again, got the rest from another service of a split route (rule ORDER), or was refused while several versions were in service.

Cause: the origin was recorded under the name of the first call only. It is now recorded under both.

Evidence: AStreamThatIsResumedTwiceStaysAtItsService failed against the code before: three of eight streams reached the other service.

--- a/source/gateway/GatewayResumption.cpp
+++ b/source/gateway/GatewayResumption.cpp
@@ -190,11 +190,14 @@
 {
     const bool several = this->dependencies.serviceVersions.severalInService(flow.service->name)
         || this->formerRoutes.changedWithin(*flow.route, originWindow(*flow.route), now);
-    const StreamNote note { streamName(flow.call), { flow.service->name, *flow.streamVersion },
-        resumptionTime(*flow.route) };
-    this->dependencies.peerService.noteStream(note, several, now);
-    if (several)
-        this->dependencies.streamVersionRows.write(note.stream, note.origin, note.resumable, now);
+    const StreamOrigin origin { flow.service->name, *flow.streamVersion };
+    const auto resumable = resumptionTime(*flow.route);
+    // A caller may name the call that resumed the stream last instead of the one that began it.
+    for (const auto& name : std::set { streamName(flow.call), flow.call.id }) {
+        this->dependencies.peerService.noteStream({ name, origin, resumable }, several, now);
+        if (several)
+            this->dependencies.streamVersionRows.write(name, origin, resumable, now);
+    }
 }
 
 } // namespace lagoontiller::gateway
--- a/tests/GatewayStreamServiceTests.cpp
+++ b/tests/GatewayStreamServiceTests.cpp
@@ -187,6 +187,18 @@
     EXPECT_TRUE(after.newEndpoint.requests.empty());
 }
 
+// Guards against another service for callers that name the last of several calls that brought parts of the stream.
+TEST(GatewayStreamService, AStreamThatIsResumedTwiceStaysAtItsService)
+{
+    TwoServices services;
+    services.route({ "old", "new" });
+    for (const auto& stream : streams) {
+        const auto begun = origin(*services.world.ask(stream));
+        EXPECT_EQ(origin(*services.world.ask("second-" + stream, resumption(stream))), begun);
+        EXPECT_EQ(origin(*services.world.ask("third-" + stream, resumption("second-" + stream))), begun);
+    }
+}
+
 // Guards against a row of an older build, which does not state the service, that counts for any service.
 TEST(GatewayStreamService, ARowWithoutAServiceDoesNotSayWhichServiceBeganTheStream)
 {
