End an attempt at an event that doesn't continue its stream

Callers saw: streams that ended as complete although an event was missing (a gap in a run, or where another endpoint took the stream up), that joined the later events of a run that had begun anew, or that had data twice (data without a number, sent again by the second run). Turns of such streams were kept. Cause: Gateway::forwardEvents dropped events whose number wasn't higher than the last one and passed on everything else; an id such as "2a" was read as 2. Change: EventSequence judges each event, across all attempts of a call; EventNumbering holds how a service's streams count. An event that doesn't continue the stream ends the attempt (event_missing, event_repeated, event_unnumbered), and nothing of it is passed on, kept or counted. A resumable stream goes on after the last event in order, any other ends broken. A stream that has brought data without a number isn't sent again, nor cut for a pause. Sparse numbers keep working (docs/decisions/0210-event-numbers.md). The two sound slow streams of GatewayLyingEndpointTests repeated one number; they count now, with the same checks.

--- a/source/gateway/EventStreamParser.cpp
+++ b/source/gateway/EventStreamParser.cpp
@@ -22,9 +22,9 @@
         event.hasData = true;
     } else if (name == "id") {
         std::uint64_t id = 0;
-        const auto result = std::from_chars(value.data(), value.data() + value.size(), id);
-        if (result.ec == std::errc())
-            event.id = id;
+        const auto* const end = value.data() + value.size();
+        const auto result = std::from_chars(value.data(), end, id);
+        event.id = result.ec == std::errc() && result.ptr == end ? std::optional(id) : std::nullopt;
     }
 }
 
--- a/source/gateway/EventStreamParser.h
+++ b/source/gateway/EventStreamParser.h
@@ -12,6 +12,7 @@
 struct StreamEvent {
     /// \brief The unmodified bytes, including the terminating blank line.
     std::string bytes;
+    /// \brief Empty if the event has no id or one that is not a number of 64 bits.
     std::optional<std::uint64_t> id;
     std::string data;
     bool hasData = false;
--- a/source/gateway/Flow.h
+++ b/source/gateway/Flow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/AttemptProgress.h"
+#include "gateway/EventSequence.h"
 #include "gateway/EventStreamParser.h"
 #include "gateway/PeerService.h"
 #include "gateway/Types.h"
@@ -90,7 +91,7 @@
     state::Backoff commitBackoff { std::chrono::milliseconds(50), std::chrono::milliseconds(250) };
     bool reachedEndpoint = false;
     std::uint64_t eventCount = 0;
-    std::optional<std::uint64_t> lastEvent;
+    EventSequence events;
     std::string output;
     core::TimePoint firstEventAt {};
 };
--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -144,9 +144,12 @@
     void handleResponseHead(FlowId id, transport::ResponseHead&& head);
     void recordRateLimit(const FlowAttempt& attempt, core::TimePoint now);
     void handleResponseBody(FlowId id, std::string&& bytes);
-    /// \brief Logs an event whose number doesn't follow the last one.
-    void recordIrregularEvent(const Flow& flow, const StreamEvent& event);
+    /// \brief Forwards the complete events that continue the stream. Another event ends the attempt.
     void forwardEvents(Flow& flow, std::string_view bytes, core::TimePoint now);
+    /// \brief Logs an event that doesn't continue the stream.
+    void recordIrregularEvent(const Flow& flow, const StreamEvent& event, EventOrder order);
+    /// \brief Returns false when this ended the call, because its caller reads too slowly.
+    bool writeEvents(Flow& flow, std::string_view out, core::TimePoint now);
     /// \brief Updates the memory that the call's response takes, and ends attempts that exceed a limit.
     void limitResponseMemory(FlowId id, core::TimePoint now);
     void handleResponseEnd(Flow& flow, core::TimePoint now);
@@ -183,6 +186,8 @@
     std::unordered_map<std::string, RetrySchedule> retrySchedules;
     /// \brief Per service with engines.
     std::unordered_map<std::string, NewProgramLimiter> newProgramLimiters;
+    /// \brief Per service with streams.
+    std::unordered_map<std::string, EventNumbering> eventNumberings;
     std::unordered_map<FlowId, Flow> flows;
     ResponseMemory responseMemory;
     core::TimePoint lastTickAt {};
--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -108,32 +108,16 @@
         fail(*failing, "memory_exceeded");
 }
 
-void Gateway::recordIrregularEvent(const Flow& flow, const StreamEvent& event)
-{
-    if (!event.hasData || (event.id && event.id == flow.lastEvent.value_or(0) + 1))
-        return;
-    std::string_view kind = "unnumbered";
-    if (event.id)
-        kind = flow.lastEvent && *event.id <= *flow.lastEvent ? "repeated" : "missing";
-    core::logWarning("stream_event_irregular")
-        .with("id", flow.call.id)
-        .with("endpoint", flow.attempt->endpoint)
-        .with("attempt", flow.attempts)
-        .with("kind", kind)
-        .with("last", flow.lastEvent.value_or(0))
-        .with("event", event.id.value_or(0));
-    this->dependencies.metrics.add("gateway_irregular_events_total", { { "kind", std::string(kind) } });
-}
-
 void Gateway::forwardEvents(Flow& flow, std::string_view bytes, core::TimePoint now)
 {
     std::string out;
+    auto order = EventOrder::InOrder;
     for (auto& event : flow.attempt->eventParser.feed(bytes)) {
-        this->recordIrregularEvent(flow, event);
-        if (event.id && flow.lastEvent && *event.id <= *flow.lastEvent)
-            continue;
-        if (event.id)
-            flow.lastEvent = event.id;
+        order = flow.events.accept(event, this->eventNumberings[flow.service->name]);
+        if (order != EventOrder::InOrder) {
+            this->recordIrregularEvent(flow, event, order);
+            break;
+        }
         if (event.hasData) {
             flow.attempt->progress.eventsReceived(now);
             ++flow.eventCount;
@@ -142,8 +126,30 @@
         }
         out.append(event.bytes);
     }
-    if (out.empty())
+    if (!out.empty() && !this->writeEvents(flow, out, now))
+        return;
+    if (order == EventOrder::InOrder)
         return;
+    if (order == EventOrder::Missing)
+        this->eventNumberings[flow.service->name].observe(false);
+    this->dependencies.endpoints.cancel(flow.attempt->exchange);
+    this->attemptFailed(flow, policy::FailureKind::ServerError, "event_" + std::string(toString(order)), now);
+}
+
+void Gateway::recordIrregularEvent(const Flow& flow, const StreamEvent& event, EventOrder order)
+{
+    core::logWarning("stream_event_irregular")
+        .with("id", flow.call.id)
+        .with("endpoint", flow.attempt->endpoint)
+        .with("attempt", flow.attempts)
+        .with("kind", toString(order))
+        .with("last", flow.events.last().value_or(0))
+        .with("event", event.id.value_or(0));
+    this->dependencies.metrics.add("gateway_irregular_events_total", { { "kind", std::string(toString(order)) } });
+}
+
+bool Gateway::writeEvents(Flow& flow, std::string_view out, core::TimePoint now)
+{
     if (!flow.responseStarted) {
         this->recordFirstEvent(flow, now - flow.attempt->sentAt <= flow.route->targetLatency, now);
         flow.responseStarted = true;
@@ -160,7 +166,9 @@
     if (this->dependencies.callers.unsentBytes(flow.connection) > maxCallerBacklogBytes) {
         this->cancelAttempt(flow);
         this->respond(flow.id, { 502, core::ResultCode::RequestTooSlow, "caller_too_slow", {} });
+        return false;
     }
+    return true;
 }
 
 void Gateway::handleResponseEnd(Flow& flow, core::TimePoint now)
@@ -197,6 +205,8 @@
         flow.responseStarted = true;
         this->dependencies.callers.begin(flow.connection, platform::encodeForwardedResponseHead(answer));
     }
+    if (const auto consecutive = flow.events.isConsecutive())
+        this->eventNumberings[flow.service->name].observe(*consecutive);
     flow.attempt.reset();
     this->responseMemory.release(flow.id);
     if (flow.route->keepsHistory)
@@ -314,7 +324,7 @@
         .with("status", status)
         .with("attempts", flow.attempts)
         .with("events", flow.eventCount)
-        .with("last_event", flow.lastEvent.value_or(0))
+        .with("last_event", flow.events.last().value_or(0))
         .with("first_ms",
             flow.responseStarted && flow.firstEventAt.time_since_epoch().count() > 0
                 ? (flow.firstEventAt - flow.arrivedAt).count() / 1'000
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -210,7 +210,7 @@
     platform::EndpointRequest request;
     request.endpoint = decision.endpoint;
     request.remaining = flow.deadline - now;
-    request.lastEvent = flow.lastEvent;
+    request.lastEvent = flow.events.last();
     request.body = flow.hasAssembledBody ? std::string_view(flow.assembledBody) : std::string_view(flow.call.body);
     if (flow.service->engine)
         request.urgency = urgency(flow);
@@ -235,6 +235,7 @@
         .with("configuration", this->configuration->version)
         .with("remaining_ms", request.remaining.count() / 1'000);
     flow.attempt.emplace(endpoint->entry, now);
+    flow.events.beginRun();
     this->dependencies.endpointDirectory.callSent(decision.endpoint, now);
     flow.attempt->exchange = this->dependencies.endpoints.send(
         decision.address, platform::encodeRequest(flow.call, request), std::move(options), std::move(events));
@@ -300,7 +301,7 @@
 
 bool Gateway::mayRetry(const Flow& flow) const
 {
-    if (flow.possibleRuns >= flow.route->maxAttempts)
+    if (flow.possibleRuns >= flow.route->maxAttempts || !flow.events.canBeResumed())
         return false;
     if (flow.route->kind == CallKind::Idempotent)
         return true;
@@ -314,7 +315,7 @@
         .with("endpoint", flow.attempt->endpoint)
         .with("cause", cause)
         .with("events", flow.eventCount)
-        .with("last_event", flow.lastEvent.value_or(0))
+        .with("last_event", flow.events.last().value_or(0))
         .with("after_ms", (now - flow.attempt->sentAt).count() / 1'000);
     this->dependencies.metrics.add("gateway_attempts_failed_total", { { "cause", std::string(cause) } });
     // A single broken connection may be caused by the response. It counts as a server error until the loss of the
@@ -365,7 +366,8 @@
 {
     if (flow.attempt && now - flow.attempt->sentAt > flow.route->targetLatency)
         this->recordFirstEvent(flow, false, now);
-    if (!flow.attempt || flow.committing || flow.possibleRuns + 1 >= flow.route->maxAttempts)
+    if (!flow.attempt || flow.committing || flow.possibleRuns + 1 >= flow.route->maxAttempts
+        || !flow.events.canBeResumed())
         return;
     const auto limit = inactivityLimit(*flow.route, flow.deadline - flow.attempt->sentAt);
     if (!limit || flow.attempt->progress.timeWithoutProgress(now) < *limit)
