Honour Last-Event-Id only on resumable routes without history

On routes without resumption the header was passed on, and the events up to it were dropped. Cause: Gateway::admit took the caller's Last-Event-Id on every route. Change: elsewhere the run begins anew, is passed on whole and kept whole.

--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -140,7 +140,9 @@
         this->respond(id, { 503, core::ResultCode::NodeDraining, "node_stopping", {} });
         return;
     }
-    flow.events = EventSequence(flow.call.lastEvent);
+    // A turn needs the whole answer, and other routes promise no resumption: their streams begin anew.
+    if (flow.route->resumable && !flow.route->keepsHistory)
+        flow.events = EventSequence(flow.call.lastEvent);
     if (flow.route->keepsHistory && flow.call.previousTurn.empty() && !this->admitsNewProgram(flow, now)) {
         this->refuseNewProgram(id);
         return;
@@ -148,7 +150,7 @@
     flow.waitsForBudget
         = flow.route->kind == CallKind::Streaming && flow.call.tokenBudget.has_value() && !flow.call.program.empty();
     flow.waitsForHistory = flow.route->keepsHistory && !flow.call.previousTurn.empty();
-    flow.waitsForStreamVersion = flow.route->resumable && flow.events.last().has_value();
+    flow.waitsForStreamVersion = flow.events.last().has_value();
     const bool history = flow.waitsForHistory;
     const bool resumes = flow.waitsForStreamVersion;
     if (flow.waitsForBudget)
--- a/tests/GatewayEventNumberTests.cpp
+++ b/tests/GatewayEventNumberTests.cpp
@@ -148,11 +148,10 @@
         EventNumberCase { "CallerResumesWithAGap", Kind::Resumable, wholeRun({ 1 }), Then::Keep,
             wholeRun({ 4, 5 }, "b"), {}, ExchangeEnd::Complete, 2, resumption, 502 },
         EventNumberCase { "CallerResumesFromTheStart", Kind::Resumable, wholeRun({ 1 }), Then::Keep,
-            wholeRun({ 1, 2, 3 }, "b"), {}, ExchangeEnd::Complete, 2, resumption, 502 }), Then::Keep,
-            lastTwo, firstTwo, ExchangeEnd::Complete, 1, resumption
-}),
-    [](const auto& info) {
-    return info.param.name; });
+            wholeRun({ 1, 2, 3 }, "b"), {}, ExchangeEnd::Complete, 2, resumption, 502 },
+        EventNumberCase { "CallerResumesWhereNothingIsResumed", Kind::NotResumable, wholeRun({ 1, 2 }), Then::Keep,
+            lastTwo, firstTwo, ExchangeEnd::Complete, 1, resumption }),
+    [](const auto& info) { return info.param.name; });
 
 // Guards against a pause that ends a stream although no other endpoint may continue it.
 TEST(GatewayEventNumbers, AStreamWithoutNumbersIsNotCutForAPause)
@@ -195,6 +194,22 @@
     EXPECT_TRUE(world.store.rows.empty());
 }
 
+// Guards against a turn that holds only the events after the caller's Last-Event-Id.
+TEST(GatewayEventNumbers, ATurnIsKeptWholeIfItsCallerResumes)
+{
+    for (const auto kind : { Kind::Resumable, Kind::NotResumable }) {
+        GatewayWorld world;
+        ScriptedEndpoint endpoint(
+            world.context, { { wholeRun({ 1, 2, 3, 4 }), Then::Keep, {}, {}, lastTwo }, { wholeRun({ 1 }) } });
+        world.serve(streamRoute(kind, true), { &endpoint });
+        EXPECT_EQ(world.ask("a", resumption, "in ")->body, eventTexts({ 1, 2, 3, 4 }, "a"));
+        EXPECT_EQ(world.ask("b", "X-Previous-Turn: a\r\n", "more")->status, 200);
+        ASSERT_EQ(endpoint.requests.size(), 2U);
+        const auto& next = endpoint.requests.back();
+        EXPECT_EQ(next.substr(next.find("\r\n\r\n") + 4), "in a\na\na\na\nmore");
+    }
+}
+
 // Guards against tokens that a program pays for although their events were not passed on.
 TEST(GatewayEventNumbers, EventsThatAreNotPassedOnDontCount)
 {
