Pass on no events of a response that says it didn't run

Callers saw: events of a run whose response carried X-Not-Executed with status 200; the call was sent to another endpoint after it and the events of both runs were joined, also on routes without resumption. Cause: Gateway::handleResponseBody forwards the events of every proven event stream; only the end of the response looked at the refusal. Change: the body of such a response is held like that of other refusals. Evidence: EventsOfARefusalAreNotPassedOn fails on the sources of (status 200 with the events of the refusal).

--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -77,7 +77,8 @@
     const auto now = core::monotonicNow();
     auto& attempt = *flow->attempt;
     const auto& answer = *attempt.response;
-    if (isSuccess(answer.status) && answer.hasOriginProof && !answer.hasContentCoding && answer.eventStream) {
+    if (isSuccess(answer.status) && answer.hasOriginProof && !answer.hasContentCoding && answer.eventStream
+        && !answer.notExecuted) {
         this->forwardEvents(*flow, bytes, now);
     } else {
         attempt.progress.bodyReceived(bytes.size(), now);
--- a/tests/GatewayEventNumberTests.cpp
+++ b/tests/GatewayEventNumberTests.cpp
@@ -210,6 +210,21 @@
     }
 }
 
+// Guards against events of a run that its endpoint denies, followed by those of another run.
+TEST(GatewayEventNumbers, EventsOfARefusalAreNotPassedOn)
+{
+    GatewayWorld world;
+    auto refusal = wholeRun({ 1, 2 });
+    refusal.insert(refusal.find("X-Response-Signature"), "X-Not-Executed: 1\r\n");
+    ScriptedEndpoint first(world.context, { { refusal } });
+    ScriptedEndpoint second(world.context, { { refusal } });
+    world.serve(streamRoute(Kind::NotResumable), { &first, &second });
+    const auto seen = world.ask("a");
+    EXPECT_EQ(seen->status, 503);
+    EXPECT_EQ(seen->body, "");
+    EXPECT_EQ(first.requests.size() + second.requests.size(), 2U);
+}
+
 // Guards against tokens that a program pays for although their events were not passed on.
 TEST(GatewayEventNumbers, EventsThatAreNotPassedOnDontCount)
 {
