Don't take gaps in streams for the numbering of their service

Callers got streams with a missing event (ORDER) once three streams of a service had been broken off for a gap at the same node. Cause: each such stream counted as evidence that the service's numbers are sparse, and a sparse service's gaps are passed on. Now only whole streams show how a service numbers. GapsDontMakeAServiceSparse guards it.

--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -131,8 +131,6 @@
         return;
     if (order == EventOrder::InOrder)
         return;
-    if (order == EventOrder::Missing)
-        this->eventNumberings[flow.service->name].observe(false);
     this->dependencies.endpoints.cancel(flow.attempt->exchange);
     this->attemptFailed(flow, policy::FailureKind::ServerError, "event_" + std::string(toString(order)), now);
 }
--- a/tests/GatewayEventNumberTests.cpp
+++ b/tests/GatewayEventNumberTests.cpp
@@ -210,6 +210,19 @@
     }
 }
 
+// Guards against faulty streams that pass for the numbering of their service, so that later gaps are not noticed.
+TEST(GatewayEventNumbers, GapsDontMakeAServiceSparse)
+{
+    GatewayWorld world;
+    ScriptedEndpoint endpoint(world.context, { { wholeRun({ 1, 3 }) } });
+    ScriptedEndpoint other(world.context, { { wholeRun({ 1, 3 }) } });
+    world.serve(streamRoute(Kind::NotResumable), { &endpoint, &other });
+    for (int call = 0; call < 8; ++call) {
+        const auto seen = world.ask("a" + std::to_string(call));
+        EXPECT_FALSE(seen->status == 200 && *seen->end == ExchangeEnd::Complete) << call;
+    }
+}
+
 // Guards against events of a run that its endpoint denies, followed by those of another run.
 TEST(GatewayEventNumbers, EventsOfARefusalAreNotPassedOn)
 {
