Continue a stream only on resumable routes

Cause: an idempotent call was retried whether or not its answer had begun. The version of a stream is kept on resumable routes only.

An answer that has begun is continued only where the route permits resumption. Since nothing can continue it, a pause no longer ends it either.

--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -55,6 +55,13 @@
     return base;
 }
 
+/// \brief Whether another run may continue what the caller has received; only resumable routes permit it, and keep to
+/// one software version.
+bool mayBeginRun(const Flow& flow)
+{
+    return flow.events.canBeResumed() && (!flow.responseStarted || flow.route->resumable);
+}
+
 /// \brief Whether the call is the first of its program.
 bool startsProgram(const Flow& flow)
 {
@@ -301,7 +308,7 @@
 
 bool Gateway::mayRetry(const Flow& flow) const
 {
-    if (flow.possibleRuns >= flow.route->maxAttempts || !flow.events.canBeResumed())
+    if (flow.possibleRuns >= flow.route->maxAttempts || !mayBeginRun(flow))
         return false;
     if (flow.route->kind == CallKind::Idempotent)
         return true;
@@ -366,8 +373,7 @@
 {
     if (flow.attempt && now - flow.attempt->sentAt > flow.route->targetLatency)
         this->recordFirstEvent(flow, false, now);
-    if (!flow.attempt || flow.committing || flow.possibleRuns + 1 >= flow.route->maxAttempts
-        || !flow.events.canBeResumed())
+    if (!flow.attempt || flow.committing || flow.possibleRuns + 1 >= flow.route->maxAttempts || !mayBeginRun(flow))
         return;
     const auto limit = inactivityLimit(*flow.route, flow.deadline - flow.attempt->sentAt);
     if (!limit || flow.attempt->progress.timeWithoutProgress(now) < *limit)
--- a/tests/GatewayStreamVersionTests.cpp
+++ b/tests/GatewayStreamVersionTests.cpp
@@ -62,8 +62,47 @@
     world.store.put({ gateway::ServiceVersions::table, "", "s" }, record.SerializeAsString());
 }
 
+/// \brief The same on a route that permits to repeat calls, but not to resume streams.
+gateway::Route idempotentRoute()
+{
+    auto route = resumableRoute();
+    route.kind = gateway::CallKind::Idempotent;
+    route.resumable = false;
+    route.timeout = milliseconds(1'000);
+    return route;
+}
+
 } // namespace
 
+// Guards against one response that joins events of two software versions on a route without resumption.
+TEST(GatewayStreamVersion, AStreamOfAnIdempotentRouteIsNotContinued)
+{
+    GatewayWorld world;
+    ScriptedEndpoint first(world.context, { brokenStream("v1") });
+    ScriptedEndpoint second(world.context, { brokenStream("v2") });
+    world.serve(idempotentRoute(), { &first, &second }, { "v1", "v2" });
+    const auto seen = world.ask("a");
+    ASSERT_TRUE(seen->end.has_value());
+    EXPECT_EQ(*seen->end, transport::ExchangeEnd::Broken);
+    EXPECT_FALSE(contains(*seen, "v1") && contains(*seen, "v2"));
+    EXPECT_EQ(first.requests.size() + second.requests.size(), 1U);
+}
+
+// Guards against a pause that ends such a stream, which no other endpoint may continue.
+TEST(GatewayStreamVersion, AStreamOfAnIdempotentRouteIsNotCutForAPause)
+{
+    GatewayWorld world;
+    const Answer slow { streamHead("{id}") + event(1, "v1"), Then::Repeat,
+        event(2, "v1") + std::string(transport::lastChunk), milliseconds(700) };
+    ScriptedEndpoint endpoint(world.context, { slow });
+    world.serve(idempotentRoute(), { &endpoint });
+    const auto seen = world.ask("a");
+    ASSERT_TRUE(seen->end.has_value());
+    EXPECT_EQ(*seen->end, transport::ExchangeEnd::Complete);
+    EXPECT_TRUE(contains(*seen, "id: 2"));
+    EXPECT_EQ(endpoint.requests.size(), 1U);
+}
+
 // Guards against one response that joins events of two software versions.
 TEST(GatewayStreamVersion, AStreamIsNotContinuedByAnotherVersion)
 {
