--- a/tests/GatewayFramingTests.cpp
+++ b/tests/GatewayFramingTests.cpp
@@ -159,6 +159,42 @@
             soundAnswer, 200, ExchangeEnd::Complete, "whole", 1 }),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a stream that ends as complete because the run that resumes it has a status without a body.
+TEST(GatewayFraming, AStatusWithoutABodyDoesNotEndAStream)
+{
+    GatewayWorld world;
+    const Answer broken { streamHead("{id}") + transport::chunk(twoEvents), Then::Reset, {}, {},
+        unframed(204, signatureLine + eventType, "") };
+    ScriptedEndpoint first(world.context, { broken });
+    ScriptedEndpoint second(world.context, { broken });
+    world.serve(routeOf(resumableStream), { &first, &second });
+    const auto seen = world.ask("a");
+    ASSERT_TRUE(seen->end.has_value());
+    EXPECT_EQ(*seen->end, ExchangeEnd::Broken);
+    EXPECT_EQ(seen->body, twoEvents);
+}
+
+// Guards against chunks behind a response that has no body: the caller takes them for the next response.
+TEST(GatewayFraming, NothingFollowsAResponseWithoutABody)
+{
+    for (const std::string method : { "HEAD", "GET" }) {
+        GatewayWorld world;
+        ScriptedEndpoint endpoint(
+            world.context, { { unframed(method == "HEAD" ? 200 : 204, signatureLine + eventType, "") } });
+        world.serve(routeOf(stream), { &endpoint });
+        asio::ip::tcp::socket socket(world.context);
+        socket.connect({ asio::ip::address_v4::loopback(), world.callers.port() });
+        asio::write(
+            socket, asio::buffer(method + " /p/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\nConnection: close\r\n\r\n"));
+        std::string received;
+        std::optional<asio::error_code> end;
+        asio::async_read(
+            socket, asio::dynamic_buffer(received), [&end](asio::error_code error, std::size_t) { end = error; });
+        ASSERT_TRUE(runUntil(world.context, [&end] { return end.has_value(); })) << method;
+        EXPECT_EQ(received.find("\r\n\r\n") + 4, received.size()) << received;
+    }
+}
+
 // Guards against a turn that continues one of which only a part was received.
 TEST(GatewayFraming, ATurnWithoutAProvenEndCannotBeContinued)
 {
