Count a version in view as a possible origin although its row says that it has left

Cause: a node reads the row of a service again only when its own view differs from what it has read. Others went on to begin streams at the version, while resumptions were placed by the row alone.

Evidence: the test failed against the code before: the only candidate was v2. That a node misses a version for 10 s that others see is reasoned, not observed.

--- a/source/gateway/ServiceVersions.cpp
+++ b/source/gateway/ServiceVersions.cpp
@@ -169,7 +169,8 @@
         const auto windowMs = static_cast<std::uint64_t>(window.count() / 1'000);
         std::set<std::string> versions;
         for (const auto& [version, entry] : service.entries) {
-            if (entry.goneAtMs == 0 || entry.goneAtMs + windowMs > nowMs)
+            // Streams begin here at a version that another node has missed.
+            if (entry.goneAtMs == 0 || entry.goneAtMs + windowMs > nowMs || service.inView.contains(version))
                 versions.insert(version);
         }
         done(std::move(versions));
--- a/tests/ServiceVersionsTests.cpp
+++ b/tests/ServiceVersionsTests.cpp
@@ -1,6 +1,7 @@
 // Which software versions of a service count as in service, by the rows that all nodes share.
 
 #include "gateway/ServiceVersions.h"
+#include "proto/gateway.pb.h"
 #include "support/FakeRowStore.h"
 
 #include <gtest/gtest.h>
@@ -49,4 +50,27 @@
         MissingCase { "ForTenSeconds", milliseconds(10'000), { "v2" } }),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a stream that is resumed at another version because one node missed the version that began it, while
+// streams still begin there.
+TEST(ServiceVersions, AVersionInViewCountsAlthoughItsRowSaysThatItHasLeft)
+{
+    asio::io_context context;
+    FakeRowStore store(context);
+    store.now = 1'000'000;
+    gateway::StoreHealth storeHealth;
+    gateway::ServiceVersions versions(store, storeHealth);
+    versions.update("s", { "v1", "v2" }, core::monotonicNow());
+    ASSERT_TRUE(runUntil(context, [&versions] { return versions.listed("s").size() == 2; }));
+    gateway::wire::ServiceVersionsRecord record;
+    for (const auto& [version, goneAtMs] : std::map<std::string, std::uint64_t> { { "v1", 900'000 }, { "v2", 0 } }) {
+        record.add_versions()->set_version(version);
+        record.mutable_versions()->rbegin()->set_gone_at_ms(goneAtMs);
+    }
+    store.put({ gateway::ServiceVersions::table, "", "s" }, record.SerializeAsString());
+    std::optional<gateway::ServiceVersions::Candidates> candidates;
+    versions.inServiceWithin("s", std::chrono::seconds(10), [&candidates](auto found) { candidates = found; });
+    ASSERT_TRUE(runUntil(context, [&candidates] { return candidates.has_value(); }));
+    EXPECT_EQ(*candidates, (std::set<std::string> { "v1", "v2" }));
+}
+
 } // namespace lagoontiller::tests
