Look for the origin of a stream also in routes with a longer or shorter path

Cause: former routes counted only for a route with exactly their path.

Now a new route records the one whose calls it takes, and former routes count for all routes whose path contains theirs or is contained in it. The latter includes routes that did not change; for these it costs a search of the origin.

Evidence: the test failed against the code before: the present service alone.

--- a/source/gateway/FormerRoutes.cpp
+++ b/source/gateway/FormerRoutes.cpp
@@ -12,9 +12,12 @@
 /// \brief Longer than any stream can be resumed.
 constexpr core::Duration retention = std::chrono::minutes(10);
 
-bool isSameRoute(const Route& first, const Route& second)
+/// \brief Whether a call that matches one of the routes can match the other one: a longer prefix takes calls from a
+/// shorter one, and returns them when it is removed.
+bool overlap(const Route& first, const Route& second)
 {
-    return first.host == second.host && first.pathPrefix == second.pathPrefix;
+    return first.host == second.host
+        && (first.pathPrefix.starts_with(second.pathPrefix) || second.pathPrefix.starts_with(first.pathPrefix));
 }
 
 void addServices(std::set<std::string>& services, const Route& route, std::optional<std::uint64_t> key)
@@ -43,12 +46,18 @@
         if (found == remaining.end() || found->second->services != route.services)
             this->routes.push_back({ route, now });
     }
+    const RouteTable before(previous.routes);
+    for (const auto& route : next.routes) {
+        const auto covering = before.find(route.host, route.pathPrefix);
+        if (covering && covering->pathPrefix != route.pathPrefix)
+            this->routes.push_back({ *covering, now });
+    }
 }
 
 bool FormerRoutes::changedWithin(const Route& route, core::Duration window, core::TimePoint now) const
 {
     return std::any_of(this->routes.begin(), this->routes.end(),
-        [&](const auto& former) { return now - former.replacedAt <= window && isSameRoute(former.route, route); });
+        [&](const auto& former) { return now - former.replacedAt <= window && overlap(former.route, route); });
 }
 
 std::set<std::string> FormerRoutes::servicesWithin(
@@ -57,7 +66,7 @@
     std::set<std::string> services;
     addServices(services, route, key);
     for (const auto& former : this->routes) {
-        if (now - former.replacedAt <= window && isSameRoute(former.route, route))
+        if (now - former.replacedAt <= window && overlap(former.route, route))
             addServices(services, former.route, key);
     }
     return services;
--- a/tests/GatewayStreamServiceTests.cpp
+++ b/tests/GatewayStreamServiceTests.cpp
@@ -137,6 +137,36 @@
     EXPECT_TRUE(services.newEndpoint.requests.empty());
 }
 
+// Guards against a stream that is resumed at another service because a route with a longer path has taken its calls, or
+// has returned them.
+TEST(FormerRoutes, IncludeThoseWithALongerOrShorterPath)
+{
+    const auto configuration = [](const std::vector<std::pair<std::string, std::string>>& routes) {
+        gateway::Configuration result;
+        for (const auto& [path, service] : routes) {
+            gateway::Route route;
+            route.host = "h";
+            route.pathPrefix = path;
+            route.services = { { service, 1 } };
+            result.routes.push_back(route);
+        }
+        return result;
+    };
+    const auto narrow = configuration({ { "/p/", "old" }, { "/q/", "other" } });
+    const auto wide = configuration({ { "/p/", "old" }, { "/p/x/", "new" }, { "/q/", "other" } });
+    const std::set<std::string> both { "new", "old" };
+    const auto now = core::monotonicNow();
+    const auto origins
+        = [now](const gateway::Configuration& from, const gateway::Configuration& to, std::size_t route) {
+              gateway::FormerRoutes former;
+              former.replace(from, to, now);
+              return former.servicesWithin(to.routes[route], 1, std::chrono::seconds(1), now);
+          };
+    EXPECT_EQ(origins(narrow, wide, 1), both);
+    EXPECT_EQ(origins(wide, narrow, 0), both);
+    EXPECT_EQ(origins(wide, narrow, 1), (std::set<std::string> { "other" }));
+}
+
 // Guards against joined services when another node served the stream before the route moved or was split.
 TEST(GatewayStreamService, AnotherNodeFindsTheServiceOfAStreamInItsRow)
 {
