Read the lists of software versions again every 3 s

A node whose view had lost the endpoints of a version took it off the list, while another node went on beginning streams there. Once the time for which a stream can be resumed was over, nodes without memory concluded that no stream could have begun at that version, and resumed such streams at the remaining one (rule ORDER).

Cause: a node read the row again only when its own view differed from the list as it had last read it. It now reads it every 3 s, which is less than the time for which a version that has left still counts, and lists the version again.

Evidence: AVersionThatIsStillInViewIsListedAgain failed against the code before. Shown for the lists only; the joined stream is reasoned.

--- a/source/gateway/ServiceVersions.cpp
+++ b/source/gateway/ServiceVersions.cpp
@@ -15,6 +15,9 @@
 /// \brief Time after which a version that has left is removed from the row; longer than any stream.
 constexpr std::uint64_t goneRetentionMs = 600'000;
 constexpr core::Duration retryInterval = std::chrono::milliseconds(250);
+/// \brief Other nodes may take a version off the list that endpoints in this node's view still have; it must be listed
+/// again before it stops counting as recent, which is after more than 5 s.
+constexpr core::Duration rereadInterval = std::chrono::seconds(3);
 
 } // namespace
 
@@ -28,7 +31,7 @@
         else
             service.missingSince.try_emplace(version, now);
     }
-    if (service.updating || now < service.nextUpdateAt || !this->isOutdated(service, now))
+    if (service.updating || now < service.nextUpdateAt || !isOutdated(service, now))
         return;
     service.updating = true;
     this->readRow(name, [this, name](const Row* row, std::uint64_t storeMs) {
@@ -38,18 +41,21 @@
             this->updateEnded(name, false, readAt);
             return;
         }
-        this->takeRow(updated, *row);
-        if (this->isOutdated(updated, readAt))
+        this->takeRow(updated, *row, readAt);
+        if (isOutdated(updated, readAt))
             this->writeRow(name, row->version, storeMs, readAt);
         else
             this->updateEnded(name, true, readAt);
     });
 }
 
-bool ServiceVersions::isOutdated(const Service& service, core::TimePoint now) const
+bool ServiceVersions::isOutdated(const Service& service, core::TimePoint now)
+{
+    return !service.loaded || now - service.loadedAt >= rereadInterval || differsFromView(service, now);
+}
+
+bool ServiceVersions::differsFromView(const Service& service, core::TimePoint now)
 {
-    if (!service.loaded)
-        return true;
     const auto isListed = [&service](const auto& version) { return service.listed.contains(version); };
     if (!std::all_of(service.inView.begin(), service.inView.end(), isListed))
         return true;
@@ -75,7 +81,7 @@
         });
 }
 
-void ServiceVersions::takeRow(Service& service, const Row& row)
+void ServiceVersions::takeRow(Service& service, const Row& row, core::TimePoint now)
 {
     wire::ServiceVersionsRecord record;
     if (!record.ParseFromString(row.value)) {
@@ -83,6 +89,7 @@
         record.Clear();
     }
     service.loaded = true;
+    service.loadedAt = now;
     service.entries.clear();
     service.listed.clear();
     for (const auto& each : record.versions()) {
@@ -121,7 +128,7 @@
         [this, name, row](const StoreResult<TransactionResult>& result) {
             const bool applied = result && result->applied;
             if (applied) {
-                this->takeRow(this->services[name], row);
+                this->takeRow(this->services[name], row, core::monotonicNow());
                 core::logInfo("service_versions").with("service", name).with("listed", this->listed(name).size());
             }
             this->updateEnded(name, applied, core::monotonicNow());
@@ -133,7 +140,11 @@
     auto& service = this->services[name];
     service.updating = false;
     // After a conflict the row is read again by the next update.
-    service.nextUpdateAt = successful ? now : now + retryInterval;
+    const bool urgent = !service.loaded || differsFromView(service, now);
+    if (successful)
+        service.nextUpdateAt = now;
+    else
+        service.nextUpdateAt = now + (urgent ? retryInterval : rereadInterval);
 }
 
 const std::set<std::string>& ServiceVersions::listed(const std::string& name) const
@@ -159,7 +170,7 @@
     this->readRow(name, [this, name, window, done = std::move(done)](const Row* row, std::uint64_t storeMs) {
         auto& service = this->services[name];
         if (row != nullptr)
-            this->takeRow(service, *row);
+            this->takeRow(service, *row, core::monotonicNow());
         else if (!service.loaded || !this->storeHealth.isOutageConfirmed(core::monotonicNow())) {
             // Other nodes may have listed versions and begun streams at them.
             done(std::nullopt);
--- a/source/gateway/ServiceVersions.h
+++ b/source/gateway/ServiceVersions.h
@@ -49,13 +49,17 @@
         /// \brief Time since which a listed version is missing in the view.
         std::map<std::string, core::TimePoint> missingSince;
         bool loaded = false;
+        /// \brief Time of the last read or write of the row.
+        core::TimePoint loadedAt {};
         bool updating = false;
         core::TimePoint nextUpdateAt {};
     };
 
-    [[nodiscard]] bool isOutdated(const Service& service, core::TimePoint now) const;
+    /// \brief Whether the list lacks a version of the view, or has one that counts as gone.
+    [[nodiscard]] static bool differsFromView(const Service& service, core::TimePoint now);
+    [[nodiscard]] static bool isOutdated(const Service& service, core::TimePoint now);
     void readRow(const std::string& name, std::function<void(const Row*, std::uint64_t storeMs)> done);
-    void takeRow(Service& service, const Row& row);
+    void takeRow(Service& service, const Row& row, core::TimePoint now);
     void writeRow(const std::string& name, std::uint64_t rowVersion, std::uint64_t storeMs, core::TimePoint now);
     void updateEnded(const std::string& name, bool successful, core::TimePoint now);
 
--- a/tests/ServiceVersionsTests.cpp
+++ b/tests/ServiceVersionsTests.cpp
@@ -27,6 +27,34 @@
 
 } // namespace
 
+// Guards against a node that goes on with streams of a version that other nodes have taken off the list: they would
+// resume these streams at the versions that remain.
+TEST(ServiceVersions, AVersionThatIsStillInViewIsListedAgain)
+{
+    asio::io_context context;
+    FakeRowStore store(context);
+    gateway::StoreHealth storeHealth;
+    gateway::ServiceVersions first(store, storeHealth);
+    gateway::ServiceVersions second(store, storeHealth);
+    const auto now = core::monotonicNow();
+    second.update("s", { "v1", "v2" }, now);
+    ASSERT_TRUE(runUntil(context, [&second] { return second.listed("s").size() == 2; }));
+    // The entries of the other version are missing in the view of one node only.
+    first.update("s", { "v2" }, now - milliseconds(11'000));
+    (void)runUntil(
+        context, [] { return false; }, milliseconds(20));
+    first.update("s", { "v2" }, now - milliseconds(11'000));
+    first.update("s", { "v2" }, core::monotonicNow());
+    ASSERT_TRUE(runUntil(context, [&first] { return first.listed("s") == std::set<std::string> { "v2" }; }));
+    second.update("s", { "v1", "v2" }, core::monotonicNow() + milliseconds(5'000));
+    (void)runUntil(
+        context, [] { return false; }, milliseconds(50));
+    std::optional<gateway::ServiceVersions::Candidates> candidates;
+    first.inServiceWithin("s", milliseconds(0), [&candidates](auto found) { candidates = std::move(found); });
+    ASSERT_TRUE(runUntil(context, [&candidates] { return candidates.has_value(); }));
+    EXPECT_EQ(**candidates, (std::set<std::string> { "v1", "v2" }));
+}
+
 // Guards against a version that counts as gone while its endpoints are missing for a short time only.
 TEST_P(MissingVersion, IsGoneAfterAWhile)
 {
