Check each form of a broken stream in the soak, with a mutant for each

Cause: the soak passed on a program whose callers saw streams with missing events, streams that ended early and streams joined over two services. Its endpoints framed every response with chunks, sent every number once and gave the same text everywhere, its routes of streams never moved, and its callers resumed once. Change: endpoints send responses without a length, whole or closed early in order, cut heads, leave out, repeat and step back in numbers, and resume at a wrong number; the text of an event names service and version. A phase of its own breaks a stream of every caller while both versions serve and resumes it, the second time after its route has moved; callers resume up to twice, now and then two at once, and name turns that broke off. Mutants run six at a time and end once their rule is broken.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 
 import http_wire as http
-from endpoints import EVENTS_PER_STREAM, event_data, plain_answer
+from answers import EVENTS_PER_STREAM, stream_output
+from endpoints import plain_answer
 from rules import Request
 
 HOST = "soak.example"
@@ -83,8 +84,10 @@
 
     # One attempt.
 
-    async def attempt(self, route, body, expected_body, fields, remaining_s, new_connection, broken=None):
-        """Sends one request; `broken` is the id of a stream and the last request for it, which this one resumes."""
+    async def attempt(self, route, body, expected_body, fields, remaining_s, new_connection, broken=None,
+                      broken_turn=None):
+        """Sends one request; `broken` is the id of a stream and the last request for it, which this one resumes.
+        `broken_turn` is a turn that broke off and that `fields` name as the turn before."""
         self.attempt_count += 1
         id = f"{self.name}-{self.attempt_count}"
         try:
@@ -94,10 +97,11 @@
         method = "GET" if route == "read" else "POST"
         target = f"/{route}/work"
         request = Request(id, KINDS[route], route, target, expected_body, node.name, node.incarnation, time.monotonic(),
-                          route == "brief", MAX_ENDPOINTS)
+                          route == "brief", MAX_ENDPOINTS, broken_turn=broken_turn)
         if broken:
             stream, last = broken
-            request.last_event_sent, request.version = last.last_event_sent, last.version
+            request.last_event_sent = last.last_event_sent
+            request.run_name, request.received_run = last.run_name, last.received_run
             fields = fields | {"Last-Event-Id": last.last_event_sent, "Resumes": stream}
         self.rules.record_request(request)
         head = {"Host": HOST, "X-Request-Id": id, "X-Deadline-Ms": int(remaining_s * 1000)} | fields
@@ -141,12 +145,20 @@
         if request.kind == "streaming" and message.status == 200:
             await self.receive_stream(request, reader, message, outcome)
             return
+        self.require_framing(message)
         body = b"".join([piece async for piece in http.read_pieces(reader, message.fields)])
         outcome.complete = True
         if message.status == 200:
             self.rules.check_response(request, message.fields, body, plain_answer(request.id, request.expected_body))
 
+    @staticmethod
+    def require_framing(message):
+        """A response without a length and without chunks ends with its connection: callers can't see that it is whole."""
+        if "content-length" not in message.fields and message.fields.get("transfer-encoding") != "chunked":
+            raise http.ConnectionLost("response without a length")
+
     async def receive_stream(self, request, reader, message, outcome):
+        self.require_framing(message)
         text = b""
         pieces = http.read_pieces(reader, message.fields)
         while True:
@@ -157,13 +169,10 @@
             text += piece
             while b"\n\n" in text:
                 event, text = text.split(b"\n\n", 1)
-                number, data = (line.split(": ", 1)[1] for line in event.decode().split("\n"))
-                expected = request.last_event_sent + 1
-                self.rules.check_event(request, int(number), data, expected, event_data(request.id, expected))
-                outcome.output += data + "\n"
-        if request.last_event_sent != EVENTS_PER_STREAM:
-            self.rules.report_violation(
-                "ORDER", f"{request.id} ended as complete after event {request.last_event_sent}")
+                fields = dict(line.split(": ", 1) for line in event.decode().split("\n"))
+                self.rules.check_event(request, int(fields["id"]), fields["data"])
+                outcome.output += fields["data"] + "\n"
+        self.rules.check_stream_end(request, text, EVENTS_PER_STREAM)
         outcome.complete = True
 
     # Requests with retries, and programs.
@@ -172,13 +181,15 @@
         end = time.monotonic() + DEADLINE_S[route]
         outcome = Outcome()
         broken = None
-        for retry in range(2):
+        for retry in range(3 if route == "brief" else 2):
             remaining_s = end - time.monotonic()
             if remaining_s <= 0.1:
                 break
-            outcome = await self.attempt(route, body, expected_body, fields, remaining_s, retry > 0, broken)
+            outcome = await self.attempt_or_resume(route, body, expected_body, fields, remaining_s, retry > 0, broken)
             if self.is_broken_stream(route, outcome):
-                broken = (outcome.id, outcome.request)
+                # A second resumption names the first attempt or the one before.
+                first = broken[0] if broken and self.random.random() < 0.5 else outcome.id
+                broken = (first, outcome.request)
                 continue
             not_executed = outcome.status in (429, 503) or (outcome.status == 0 and not outcome.id)
             if outcome.status in (200, 400, 402, 404) or not (not_executed or KINDS[route] == "idempotent"):
@@ -189,6 +200,13 @@
         self.soak.record_outcome(route, outcome)
         return outcome
 
+    async def attempt_or_resume(self, route, body, expected_body, fields, remaining_s, new_connection, broken):
+        """Sends one request; resumes a broken stream now and then by two requests at once, and returns the whole one."""
+        count = 2 if broken and self.random.random() < 0.25 else 1
+        outcomes = await asyncio.gather(*(
+            self.attempt(route, body, expected_body, fields, remaining_s, new_connection, broken) for _ in range(count)))
+        return max(outcomes, key=lambda outcome: (outcome.status == 200, outcome.complete))
+
     @staticmethod
     def is_broken_stream(route, outcome):
         return (route == "brief" and outcome.status == 200 and not outcome.complete
@@ -211,8 +229,40 @@
             if outcome.status in (402, 404):
                 return outcome
             await asyncio.sleep(self.random.uniform(0.1, 0.4))
+            if outcome.status == 200:
+                await self.continue_broken_turn(outcome, history + new_input, fields)
         return outcome
 
+    async def continue_broken_turn(self, broken, text, fields):
+        """Names a turn that broke off as the turn before, in a program of its own, so that no budget refuses it: no
+        endpoint may run this, unless the turn became whole."""
+        expected = text + stream_output(broken.id, broken.request.run_name) + "and then\n"
+        own = {"X-Program-Id": f"{broken.id}.after", "X-Token-Budget": 2 * MAX_TURN_TOKENS, "X-Previous-Turn": broken.id}
+        await self.attempt("chat", b"and then\n", expected.encode(), fields | own, DEADLINE_S["chat"], True,
+                           broken_turn=broken.request)
+
+    # Streams that their callers take up later.
+
+    async def send_briefs(self, count):
+        for index in range(count):
+            body = f"{self.name} brief {index}".encode()
+            await self.send_with_retries("brief", body, body, {"X-Token-Usage": f"50,{MAX_TURN_TOKENS}"})
+
+    async def begin_brief(self, text):
+        """Begins a stream that may be resumed; returns its outcome, normally of a broken one."""
+        body = f"{self.name} {text}".encode()
+        return await self.attempt("brief", body, body, {"X-Token-Usage": f"50,{MAX_TURN_TOKENS}"}, DEADLINE_S["brief"], True)
+
+    async def resume_brief(self, begun):
+        """Resumes the stream until it is whole or refused."""
+        if not self.is_broken_stream("brief", begun):
+            return
+        body = begun.request.expected_body
+        fields = {"X-Token-Usage": f"50,{MAX_TURN_TOKENS}"}
+        outcome = await self.attempt_or_resume(
+            "brief", body, body, fields, DEADLINE_S["brief"], True, (begun.id, begun.request))
+        self.soak.record_resumption(outcome)
+
     async def run_program(self, number):
         """Runs one program; returns its id, its chain of complete turns and its token budget."""
         program = f"{self.name}.p{number}"
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -5,12 +5,12 @@
 import time
 
 import http_wire as http
+from answers import PLAIN_LIES, RESUMED_LIES, STREAM_LIES, event_data, plain_bytes, stream_answer
 from links import Link
 
 HEARTBEAT_INTERVAL_S = 0.4
 EVENT_INTERVAL_S = 0.012
 PLAIN_DURATION_S = 0.03
-EVENTS_PER_STREAM = 12
 SLOTS = 16
 
 
@@ -19,19 +19,17 @@
     return f"{id} {hashlib.sha256(body).hexdigest()}".encode() * 8
 
 
-def event_data(id, number):
-    """Returns the data of one stream event; it is the same at every endpoint."""
-    return f"{id}.{number}"
-
-
 class Endpoint:
     """One process of a service.
 
-    `fault`: none, lost (sometimes resets the connection during or after the execution), slow, hang or full.
+    `fault`: none, lost (sometimes resets the connection during or after the execution), slow, hang, full, break (cuts
+    streams that may be resumed) or lies (sends every faulty response of answers.py now and then). An endpoint that is
+    `unframed` sends whole responses without a length and without chunks.
     """
 
-    def __init__(self, rules, store, random, name, service, zone, engine, version):
+    def __init__(self, rules, store, lies, random, name, service, zone, engine, version):
         self.rules = rules
+        self.lies = lies
         self.store = store
         self.random = random
         self.name = name
@@ -39,7 +37,9 @@
         self.zone = zone
         self.engine = engine
         self.version = version
+        self.run_name = f"{service}/{version}"
         self.limit_per_s = None
+        self.unframed = False
         self.fault = "none"
         self.state = "ready"
         self.up = False
@@ -60,12 +60,15 @@
         self.server = await asyncio.start_server(self.serve, *self.listen_address)
         self.up = True
 
-    async def crash(self):
+    async def crash(self, in_order=False):
+        """Ends the process; the system closes in order the connections from which it had read everything."""
         self.up = False
         self.server.close()
-        await self.server.wait_closed()
         for writer in list(self.writers):
-            http.abort(writer)
+            if in_order:
+                writer.close()
+            else:
+                http.abort(writer)
 
     async def send_heartbeats(self):
         while True:
@@ -110,32 +113,62 @@
     def limit_field(self):
         return {} if self.limit_per_s is None else {"Server-Limit": self.limit_per_s}
 
+    def choose_lie(self, lies, often=False):
+        if self.fault == "lies" and self.random.random() < (0.9 if often else 0.5):
+            return self.lies.take(lies)
+        if self.fault == "lost" and self.random.random() < 0.3:
+            return "cut"
+        return "unframed" if self.unframed else ""
+
     async def run(self, request, id, writer):
         last = int(request.fields.get("last-event-id", 0))
-        self.rules.record_execution(id, self.name, self.service, request.line[1], request.body, last,
-                                    self.version)
-        slowdown = 8 if self.fault == "slow" else 1
+        self.rules.record_execution(id, self.name, self.service, request.line[1], request.body, last, self.run_name)
         if self.fault == "hang":
             await asyncio.sleep(10)
-        lost = self.fault == "lost" and self.random.random() < 0.3
         head = {"X-Request-Id": id, "X-Response-Signature": f"{self.name}.{id}"} | self.limit_field()
-        if not self.engine:
-            await asyncio.sleep(PLAIN_DURATION_S * slowdown)
-            if lost:
-                http.abort(writer)
-            else:
-                writer.write(http.response_bytes(200, head, plain_answer(id, request.body)))
-            return
-        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
-        writer.write("\r\n".join(lines + [f"{name}: {value}" for name, value in head.items()]).encode() + b"\r\n\r\n")
-        reset_at_event = self.random.randint(1, EVENTS_PER_STREAM) if lost else 0
-        for number in range(last + 1, EVENTS_PER_STREAM + 1):
-            await asyncio.sleep(EVENT_INTERVAL_S * slowdown)
-            if number == reset_at_event:
-                writer.write(b"1f\r\nid: ")
-                await writer.drain()
-                http.abort(writer)
-                return
-            writer.write(http.chunk(f"id: {number}\ndata: {event_data(id, number)}\n\n".encode()))
+        if self.engine:
+            ending = await self.send_stream(request, id, last, head, writer)
+        else:
+            await asyncio.sleep(PLAIN_DURATION_S * self.slowdown())
+            lie = self.choose_lie(PLAIN_LIES)
+            if self.fault == "lost" and lie == "cut":
+                raise http.ConnectionLost("answer lost")
+            data, ending = plain_bytes(head, plain_answer(id, request.body), lie)
+            writer.write(data)
+        if ending != "end":
+            await self.disconnect(writer, ending)
+
+    def slowdown(self):
+        return 8 if self.fault == "slow" else 1
+
+    async def send_stream(self, request, id, last, head, writer):
+        """Sends the events of one run; returns how the connection ends."""
+        resumable = request.line[1].startswith("/brief/")
+        lie = self.choose_lie(RESUMED_LIES if last else STREAM_LIES, resumable)
+        if self.fault == "break" and resumable:
+            lie = "cut"
+        answer = stream_answer(self.random, last, lie)
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"] + ["Transfer-Encoding: chunked"] * answer.chunked
+        text = "\r\n".join(lines + [f"{name}: {value}" for name, value in head.items()]).encode() + b"\r\n\r\n"
+        writer.write(text[:-10] if answer.head_only else text)
+        run_name = f"{self.run_name}/again" if answer.repeats(last) else self.run_name
+        for number in answer.numbers:
+            await asyncio.sleep(EVENT_INTERVAL_S * self.slowdown())
+            event = f"id: {number}\ndata: {event_data(id, run_name, number)}\n\n".encode()
+            writer.write(http.chunk(event) if answer.chunked else event)
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
+        if answer.whole(last):
+            self.rules.record_whole_run(id)
+        if answer.ending == "end":
+            writer.write(http.LAST_CHUNK)
+        elif answer.ending == "reset":
+            writer.write(b"1f\r\nid: ")
+        return answer.ending
+
+    async def disconnect(self, writer, ending):
+        """Closes the connection in order or resets it; the gateway sees either after everything sent before."""
+        await writer.drain()
+        if ending == "close":
+            writer.close()
+            await writer.wait_closed()
+        raise http.ConnectionLost(ending)
--- a/soak/http_wire.py
+++ b/soak/http_wire.py
@@ -1,6 +1,10 @@
 """The subset of HTTP/1.1 that the soak's stand-ins and callers use."""
 
 import asyncio
+import socket
+import struct
+
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 class ConnectionLost(Exception):
@@ -80,5 +84,9 @@
 
 def abort(writer):
     """Resets the connection."""
-    if writer.transport is not None:
-        writer.transport.abort()
+    if writer.transport is None:
+        return
+    connection = writer.transport.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -16,11 +16,12 @@
 FOLDER = "build/mutants"
 SEEDS = "1"
 FIRST_LANE = 70
+MAX_RUNS_AT_ONCE = 6
 
 
 @dataclass(frozen=True)
 class Mutant:
-    """A fault that the gateway must not have, and the rule that it breaks."""
+    """A fault that the gateway must not have, and the rule (and its form) that it breaks."""
 
     name: str
     rule: str
@@ -33,7 +34,7 @@
     Mutant("second-send", "TWICE", "source/gateway/GatewayAttempts.cpp",
            "    if (flow.route->kind == CallKind::Idempotent)\n        return true;",
            "    return true;"),
-    Mutant("dropped-event", "ORDER", "source/gateway/GatewayAnswers.cpp",
+    Mutant("dropped-event", "ORDER missing", "source/gateway/GatewayAnswers.cpp",
            "        out.append(event.bytes);",
            "        if (flow.eventCount != 5)\n            out.append(event.bytes);"),
     Mutant("reservation-skipped", "BUDGET", "source/gateway/GatewayAdmission.cpp",
@@ -42,7 +43,7 @@
     Mutant("turn-not-durable", "LOST", "source/gateway/GatewayAnswers.cpp",
            "    if (flow.route->keepsHistory)\n        this->commitTurn(flow.id);\n    else\n        this->endStream(flow.id);",
            "    this->endStream(flow.id);"),
-    Mutant("versions-joined", "ORDER", "source/gateway/GatewayAttempts.cpp",
+    Mutant("versions-joined", "ORDER joined", "source/gateway/GatewayAttempts.cpp",
            "    if (flow.streamVersion)\n        return { *flow.streamVersion };",
            "    return {};"),
     Mutant("limit-ignored", "LIMIT", "source/gateway/Placement.cpp",
@@ -51,6 +52,54 @@
     Mutant("false-refusal", "REFUSED", "source/gateway/GatewayAttempts.cpp",
            "this->respond(flow.id, { 502, core::ResultCode::EndpointFailed, cause, {} });",
            "this->respond(flow.id, { 503, core::ResultCode::EndpointFailed, cause, {} });"),
+    # One mutant for each form of a broken stream.
+    Mutant("close-completes-stream", "ORDER early", "source/transport/ClientPool.cpp",
+           "connection->parser.framing() == Framing::UntilClose ? ExchangeEnd::Closed : ExchangeEnd::Complete",
+           "ExchangeEnd::Complete"),
+    Mutant("close-completes-call", "MIXED short", "source/gateway/GatewayAttempts.cpp",
+           "(end == ExchangeEnd::Closed && !isSuccess(response.status))",
+           "(end == ExchangeEnd::Closed && response.status != 0)"),
+    Mutant("failure-completes-stream", "ORDER early", "source/gateway/GatewayAnswers.cpp",
+           "        this->dependencies.callers.abort(flow->connection);",
+           "        this->dependencies.callers.end(flow->connection);"),
+    Mutant("broken-turn-kept", "UNASKED short", "source/gateway/GatewayAnswers.cpp",
+           "        this->dependencies.callers.abort(flow->connection);",
+           """        if (flow->route->keepsHistory) {
+            auto turn = std::make_shared<Turn>();
+            turn->id = flow->call.id;
+            for (const auto& each : flow->chain)
+                turn->ancestors.push_back(each->id);
+            turn->input = flow->call.body;
+            turn->output = flow->output;
+            this->dependencies.turnStore.commit(turn, flow->route->retention, [](bool) {});
+        }
+        this->dependencies.callers.abort(flow->connection);"""),
+    Mutant("gap-passed", "ORDER missing", "source/gateway/EventSequence.cpp",
+           "if (!next && (consecutive || (this->awaitsNext && !sparse)))",
+           "if (!next && this->awaitsNext && !sparse)"),
+    Mutant("gap-after-resumption", "ORDER missing", "source/gateway/EventSequence.cpp",
+           "if (!next && (consecutive || (this->awaitsNext && !sparse)))",
+           "if (!next && !this->awaitsNext && consecutive)"),
+    Mutant("repetition-passed", "ORDER twice", "source/gateway/EventSequence.cpp",
+           "        if (number <= *this->lastNumber)",
+           "        if (number == *this->lastNumber)\n            return EventOrder::InOrder;\n"
+           "        if (number <= *this->lastNumber)"),
+    Mutant("step-back-passed", "ORDER back", "source/gateway/EventSequence.cpp",
+           "        if (number <= *this->lastNumber)",
+           "        if (number < *this->lastNumber) {\n            this->lastNumber = number;\n"
+           "            return EventOrder::InOrder;\n        }\n        if (number <= *this->lastNumber)"),
+    Mutant("new-run-joined", "ORDER joined", "source/gateway/GatewayAnswers.cpp",
+           "        if (order != EventOrder::InOrder) {",
+           "        if (order == EventOrder::Repeated) {\n            order = EventOrder::InOrder;\n            continue;\n"
+           "        }\n        if (order != EventOrder::InOrder) {"),
+    Mutant("services-joined", "ORDER joined", "source/gateway/GatewayResumption.cpp",
+           """    const auto service = this->services.find(origin.service);
+    if (service == this->services.end() || !sendsTo(*flow.route, origin.service)) {
+        this->refuseResumption(id, "stream_service_gone");
+        return;
+    }
+    flow.service = service->second;
+""", "    (void)sendsTo(*flow.route, origin.service);\n"),
 )
 
 
@@ -95,14 +144,14 @@
 def run_mutant(mutant, lane):
     """Returns whether the soak catches the mutant, and what it printed."""
     program = build(mutant)
-    result = subprocess.run(["scripts/soak", "--program", program, "--seeds", SEEDS, "--lane", str(lane)], check=False,
-                            capture_output=True, text=True)
+    result = subprocess.run(["scripts/soak", "--program", program, "--seeds", SEEDS, "--lane", str(lane),
+                             "--until", f"{mutant.rule}:"], check=False, capture_output=True, text=True)
     return result.returncode == 1 and f"broken {mutant.rule}:" in result.stdout, result.stdout
 
 
 def main():
     chosen = [mutant for mutant in MUTANTS if not sys.argv[1:] or mutant.name in sys.argv[1:]]
-    with ThreadPoolExecutor(max_workers=len(chosen)) as pool:
+    with ThreadPoolExecutor(max_workers=MAX_RUNS_AT_ONCE) as pool:
         results = list(pool.map(run_mutant, chosen, range(FIRST_LANE, FIRST_LANE + len(chosen))))
     for mutant, (caught, output) in zip(chosen, results):
         print(f"mutant {mutant.name}: {'caught as ' + mutant.rule if caught else 'MISSED'}")
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,13 +4,14 @@
 
 WARM_UP_S = 3.0
 PLANNED_S = 7.0
+STREAMS_S = 4.5
 FAULTS_S = 12.0
 RECOVERY_S = 5.0
 CALM_S = 4.0
 
 STORE_MODES = ("down", "silent", "slow", "lost", "late")
 LINK_MODES = ("delay", "cut", "one_way")
-ENDPOINT_FAULTS = ("lost", "slow", "hang", "full")
+ENDPOINT_FAULTS = ("lost", "slow", "hang", "full", "lies", "break")
 
 
 @dataclass(frozen=True)
@@ -35,16 +36,21 @@
     return steps
 
 
+def stream_steps():
+    """Streams that break and are resumed, and faulty responses, without other faults beside them."""
+    return [Step(WARM_UP_S + PLANNED_S, "streams", 0, "", STREAMS_S - 2)]
+
+
 def fault_steps(random):
     """Faults of every kind, several at a time, mixed with planned work."""
-    start = WARM_UP_S + PLANNED_S
+    start = WARM_UP_S + PLANNED_S + STREAMS_S
     steps = []
     for _ in range(random.randint(8, 14)):
         at = start + random.uniform(0, FAULTS_S - 4)
         target = random.randrange(100)
         seconds = random.uniform(0.5, 3.5)
         kind = random.choice(("store", "store", "forget", "freeze", "kill", "kill", "stop", "reload", "store_link",
-                              "caller_link", "endpoint_link", "reset", "silence", "endpoint", "endpoint", "crash", "drain"))
+                              "caller_link", "endpoint_link", "reset", "silence", "endpoint", "endpoint", "crash", "killed", "drain"))
         mode = ""
         if kind == "store":
             mode = random.choice(STORE_MODES)
@@ -60,8 +66,12 @@
     # and at every endpoint of the service that runs the calls that must not be repeated.
     steps.append(Step(start + random.uniform(0, 4), "endpoint", 0, "lost", 4.0))
     steps.append(Step(start + random.uniform(0, 4), "service", 0, "lost", 4.0))
+    # A process that is killed closes unframed responses in order.
+    for target in (1, 2, 8, 14):
+        steps.append(Step(start + random.uniform(0, 4), "unframed", target, "", 6.0))
+        steps.append(Step(start + random.uniform(4, 6), "killed", target, "", 0.5))
     return steps
 
 
 def make(random):
-    return sorted(planned_steps(random) + fault_steps(random), key=lambda step: step.at_s)
+    return sorted(planned_steps(random) + stream_steps() + fault_steps(random), key=lambda step: step.at_s)
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -25,7 +25,10 @@
     max_endpoints: int = 2
     runs: list = field(default_factory=list)
     last_event_sent: int = 0
-    version: str = ""  # of the endpoint that began the stream
+    run_name: str = ""  # service and version of the endpoint that began the stream, as endpoints report them
+    received_run: str = ""  # the same, as the text of the events shows it
+    whole: bool = False  # an endpoint sent its whole stream
+    broken_turn: "Request" = None  # turn that the caller saw broken off, and that this request names as the one before
     status: int = 0
     refused_at: float = 0.0
 
@@ -67,7 +70,7 @@
         if now > limited_at + LIMIT_CONTACT_S + LIMIT_WINDOW_S and count > 1.5 * limit_per_s * LIMIT_WINDOW_S + 5:
             self.report_violation("LIMIT", f"{endpoint} got {count} requests in {LIMIT_WINDOW_S} s, limit {limit_per_s} a second")
 
-    def record_execution(self, id, endpoint, service, target, body, last_event, version):
+    def record_execution(self, id, endpoint, service, target, body, last_event, run_name):
         """Records that an endpoint starts to execute a request, and checks that it may."""
         self.runs += 1
         request = self.requests.get(id)
@@ -76,13 +79,15 @@
             return
         if target != request.target:
             self.report_violation("UNASKED", f"{id} ran with target {target}")
-        if body != request.expected_body:
+        if request.broken_turn and not request.broken_turn.whole:
+            self.report_violation("UNASKED short", f"{id} goes on from {request.broken_turn.id}, which broke off")
+        elif body != request.expected_body:
             self.report_violation(
                 "UNASKED", f"{id} ran with another body ({len(body)} of {len(request.expected_body)} bytes)")
         resumed = request.resumable and last_event > 0
-        if resumed and request.version != version:
-            self.report_violation("ORDER", f"{id} was begun by version {request.version} and went on at {version}")
-        request.version = version
+        if resumed and request.run_name != run_name:
+            self.report_violation("ORDER joined", f"{id} was begun by {request.run_name} and went on at {run_name}")
+        request.run_name = run_name
         repeatable = request.kind == "idempotent" or resumed
         if request.runs and not repeatable and not (request.resumable and request.last_event_sent == 0):
             self.report_violation("TWICE", f"{id} ran at {request.runs[0][0]} and {endpoint}")
@@ -94,6 +99,10 @@
             self.report_violation("BUDGET", f"{id} ran {len(request.runs)} times")
         self.check_service(request, service)
 
+    def record_whole_run(self, id):
+        if id in self.requests:
+            self.requests[id].whole = True
+
     def check_service(self, request, service):
         """Checks that the service belongs to a configuration possibly in force, and that no node reverts to an older one."""
         moves = [move for move in self.moves if move[1] == request.route]
@@ -135,15 +144,29 @@
         if fields.get("x-request-id") != request.id:
             self.report_violation("MIXED", f"{request.id} was answered as {fields.get('x-request-id')}")
         if body != expected:
+            short = " short" if expected.startswith(body) else ""
             self.report_violation(
-                "MIXED", f"{request.id} has {len(body)} bytes that are not the endpoint's {len(expected)}")
+                f"MIXED{short}", f"{request.id} has {len(body)} bytes that are not the endpoint's {len(expected)}")
 
-    def check_event(self, request, number, data, expected_number, expected_data):
-        if number != expected_number:
-            self.report_violation("ORDER", f"{request.id} has event {number} in place of {expected_number}")
-        elif data != expected_data:
-            self.report_violation("MIXED", f"{request.id} has the data of another run in event {number}")
+    def check_event(self, request, number, data):
+        """Checks the number and the text of the next event of a stream."""
+        last = request.last_event_sent
         request.last_event_sent = number
+        if number != last + 1:
+            form = "missing" if number > last else "twice" if number == last else "back"
+            self.report_violation(f"ORDER {form}", f"{request.id} has event {number} after {last}")
+        id, run, text_number = (data.split(" ") + ["", ""])[:3]
+        if (id, text_number) != (request.id, str(number)):
+            self.report_violation("MIXED", f"{request.id} has the data of another event in event {number}: {data}")
+        elif request.received_run not in ("", run):
+            self.report_violation(
+                "ORDER joined", f"{request.id} was begun by {request.received_run} and has event {number} of {run}")
+        request.received_run = request.received_run or run
+
+    def check_stream_end(self, request, rest, event_count):
+        """Checks a stream that its framing showed as complete."""
+        if request.last_event_sent != event_count or rest:
+            self.report_violation("ORDER early", f"{request.id} ended as complete after event {request.last_event_sent}")
 
     def record_delivered_tokens(self, program, tokens, budget, max_turn_tokens):
         self.tokens[program] = self.tokens.get(program, 0) + tokens
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -11,23 +11,27 @@
 import time
 
 import plan
+from answers import Lies
 from callers import TOKENS_PER_EVENT, Caller
 from endpoints import SLOTS, Endpoint
 from nodes import ZONES, Node
 from rules import Rules
 from store import Store
 
+NEXT_SERVICE = {"ledger-1": "ledger-3", "ledger-2": "ledger-4", "engines": "engines-2"}
+BRIEFS_AMONG_LIES = 5
 CONFIG_APPLY_S = 2.5
 ROLLBACK_SLACK_S = 0.25
 # Share of the requests of the calm phase that must be served; callers give up a few while nodes recover.
 SERVED_AFTER_RECOVERY = 0.95
+ENGINE_SERVICES = ("engines", "engines-2")
 PLAIN_SERVICES = ("ledger-1", "ledger-2", "ledger-3", "ledger-4")
 
 
 class Soak:
     """One run: a store, endpoints, gateway processes and callers on loopback addresses of their own."""
 
-    def __init__(self, programs, directory, seed, node_count, lane):
+    def __init__(self, programs, directory, seed, node_count, lane, until):
         self.random = random.Random(seed)
         self.rules = Rules(CONFIG_APPLY_S, ROLLBACK_SLACK_S)
         self.rules.had_store_contact = lambda name, at: self.node(name).had_store_contact(at)
@@ -35,12 +39,14 @@
         self.directory = directory
         self.node_count = node_count
         self.lane = lane
+        self.until = until
         self.store = Store(random.Random(seed + 1))
+        self.lies = Lies(self.random)
         self.nodes = []
         self.endpoints = []
         self.callers = []
         self.version = 0
-        self.service_index = {"read": 0, "lodge": 1}
+        self.services = {"read": "ledger-1", "lodge": "ledger-2", "brief": "engines"}
         self.outcomes = collections.Counter()
         self.chains = []
         self.calm = collections.Counter()
@@ -59,12 +65,14 @@
         await self.store.start(self.ip(0), 7000)
         self.publish_configuration()
         number = 0
-        for service, engine, count in [("engines", True, 4)] + [(name, False, 2) for name in PLAIN_SERVICES]:
+        for service, engine, count in ([(name, True, 4) for name in ENGINE_SERVICES]
+                                       + [(name, False, 2) for name in PLAIN_SERVICES]):
             for index in range(count):
                 number += 1
                 zone = list(ZONES)[index % len(ZONES)]
                 version = str(1 + index // len(ZONES))
-                endpoint = Endpoint(self.rules, self.store, self.random, f"e{number}", service, zone, engine, version)
+                endpoint = Endpoint(self.rules, self.store, self.lies, self.random, f"e{number}", service, zone, engine,
+                                    version)
                 self.endpoints.append(endpoint)
                 await endpoint.start(self.ip(100 + number), 7301)
         for index in range(self.node_count):
@@ -83,17 +91,19 @@
     def publish_configuration(self):
         self.version += self.random.randint(1, 5)
         common = {"host": "soak.example", "timeoutMs": 5000, "targetLatencyMs": 300, "targetGapMs": 250, "priority": 1}
-        stream = common | {"kind": "streaming", "service": "engines", "sticky": True}
+        stream = common | {"kind": "streaming", "sticky": True}
         plain = [("read", "idempotent"), ("lodge", "non_idempotent")]
         routes = [
-            stream | {"name": "chat", "pathPrefix": "/chat/", "maxAttempts": 2, "retainContext": True, "retentionS": 60},
-            stream | {"name": "brief", "pathPrefix": "/brief/", "maxAttempts": 2, "resumable": True}]
+            stream | {"name": "chat", "pathPrefix": "/chat/", "maxAttempts": 2, "service": "engines",
+                      "retainContext": True, "retentionS": 60},
+            stream | {"name": "brief", "pathPrefix": "/brief/", "maxAttempts": 2, "service": self.services["brief"],
+                      "resumable": True}]
         for name, kind in plain:
             routes.append(common | {"name": name, "pathPrefix": f"/{name}/", "kind": kind, "maxAttempts": 2,
-                                    "service": PLAIN_SERVICES[self.service_index[name]]})
+                                    "service": self.services[name]})
         engine = {"slots": SLOTS, "kvCapacityTokens": 200000, "tokensPerEvent": TOKENS_PER_EVENT}
         services = [{"name": name, "healthPath": "/health", "maxConns": 200} for name in PLAIN_SERVICES]
-        services.append({"name": "engines", "healthPath": "/health", "maxConns": 200, "engine": engine})
+        services += [{"name": name, "healthPath": "/health", "maxConns": 200, "engine": engine} for name in ENGINE_SERVICES]
         limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
         self.store.put_json("op", "config", {"version": self.version, "routes": routes, "services": services,
                                              "limits": limits})
@@ -146,9 +156,18 @@
             await asyncio.sleep(step.duration_s)
             endpoint.fault = "none"
         elif step.kind == "service":
-            await self.fail_service(PLAIN_SERVICES[self.service_index["lodge"]], step)
-        elif step.kind == "crash":
-            await endpoint.crash()
+            await self.fail_endpoints(self.endpoints_of(self.services["lodge"]), step.mode, step.duration_s)
+        elif step.kind == "streams":
+            await self.resume_streams(False)
+            await self.resume_streams(True)
+            briefs = [caller.send_briefs(BRIEFS_AMONG_LIES) for caller in self.callers]
+            await asyncio.gather(self.fail_endpoints(self.endpoints, "lies", step.duration_s), *briefs)
+        elif step.kind == "unframed":
+            endpoint.unframed = True
+            await asyncio.sleep(step.duration_s)
+            endpoint.unframed = False
+        elif step.kind in ("crash", "killed"):
+            await endpoint.crash(step.kind == "killed")
             await asyncio.sleep(step.duration_s)
             await endpoint.restart()
         elif step.kind == "drain":
@@ -165,16 +184,35 @@
         self.mark_all_disturbed()
         self.store.mode = "ok"
 
-    async def fail_service(self, service, step):
-        """Sets the fault at all endpoints of the service, then clears it where no other fault has replaced it."""
-        endpoints = [endpoint for endpoint in self.endpoints if endpoint.service == service]
+    def endpoints_of(self, service):
+        return [endpoint for endpoint in self.endpoints if endpoint.service == service]
+
+    @staticmethod
+    async def fail_endpoints(endpoints, fault, seconds):
+        """Sets the fault at the endpoints, then clears it where no other fault has replaced it."""
         for endpoint in endpoints:
-            endpoint.fault = step.mode
-        await asyncio.sleep(step.duration_s)
+            endpoint.fault = fault
+        await asyncio.sleep(seconds)
         for endpoint in endpoints:
-            if endpoint.fault == step.mode:
+            if endpoint.fault == fault:
                 endpoint.fault = "none"
 
+    async def resume_streams(self, move):
+        """Breaks a stream of every caller, and resumes it, with `move` after the route has moved to another service."""
+        endpoints = self.endpoints_of(self.services["brief"])
+        for endpoint in endpoints:
+            endpoint.fault = "break"
+        begun = await asyncio.gather(*(caller.begin_brief("to be resumed") for caller in self.callers))
+        for endpoint in endpoints:
+            endpoint.fault = "none"
+        if move:
+            self.move_route("brief")
+            await asyncio.sleep(1.0)
+        await asyncio.gather(*(caller.resume_brief(each) for caller, each in zip(self.callers, begun)))
+
+    def record_resumption(self, outcome):
+        self.outcomes[("resumed", outcome.status if outcome.complete or not outcome.status else "cut")] += 1
+
     async def apply_link_fault(self, step, node, endpoint):
         name = step.mode if step.kind in ("reset", "silence") else step.kind.removesuffix("_link")
         link = {"store": node.store_link, "caller": node.caller_link, "endpoint": endpoint.link}[name]
@@ -198,12 +236,12 @@
 
     def move_route(self, route):
         """Moves the route to a service that it has not used before."""
-        before = PLAIN_SERVICES[self.service_index[route]]
-        if self.service_index[route] + 2 >= len(PLAIN_SERVICES):
+        before = self.services[route]
+        if before not in NEXT_SERVICE:
             return
-        self.service_index[route] += 2
+        self.services[route] = NEXT_SERVICE[before]
         self.publish_configuration()
-        self.rules.record_route_move(route, before, PLAIN_SERVICES[self.service_index[route]])
+        self.rules.record_route_move(route, before, self.services[route])
 
     async def restart_on_exit(self, node):
         """Restarts the node whenever it exits, as the platform does."""
@@ -214,9 +252,9 @@
             await asyncio.sleep(0.3)
             await node.launch()
 
-    async def run_callers(self, caller, end):
+    async def run_caller(self, caller):
         number = 0
-        while time.monotonic() < end:
+        while self.elapsed() < self.callers_end_s:
             number += 1
             self.chains.append(await caller.run_program(number))
             await asyncio.sleep(self.random.uniform(0, 0.2))
@@ -230,15 +268,25 @@
             if not outcome.complete or outcome.status not in (200, 402):
                 self.rules.report_violation("RECOVER", f"{program} was not continued, status {outcome.status}")
 
+    async def run_until_broken(self):
+        """Plays the run, and ends it early once the rule `until` is broken."""
+        run = asyncio.create_task(self.run())
+        while not run.done() and not (self.until and any(line.startswith(self.until) for line in self.rules.violations)):
+            await asyncio.wait([run], timeout=0.2)
+        if run.done():
+            run.result()
+        run.cancel()
+        # asyncio.wait_for can lose a cancellation, so that a caller would go on until the planned end.
+        self.callers_end_s = 0.0
+
     async def run(self):
         await self.start()
         steps = plan.make(self.random)
-        faults_end_s = plan.WARM_UP_S + plan.PLANNED_S + plan.FAULTS_S
-        self.end_s = faults_end_s + plan.RECOVERY_S + plan.CALM_S
+        faults_end_s = plan.WARM_UP_S + plan.PLANNED_S + plan.STREAMS_S + plan.FAULTS_S
+        self.end_s = self.callers_end_s = faults_end_s + plan.RECOVERY_S + plan.CALM_S
         for node in self.nodes:
             self.spawn(self.restart_on_exit(node))
-        caller_tasks = [asyncio.create_task(self.run_callers(caller, self.started_at + self.end_s))
-                        for caller in self.callers]
+        caller_tasks = [asyncio.create_task(self.run_caller(caller)) for caller in self.callers]
         for step in steps:
             await asyncio.sleep(max(0, step.at_s - self.elapsed()))
             self.spawn(self.apply_step(step))
@@ -277,13 +325,15 @@
             directory = os.path.join(arguments.logs, str(seed))
             os.makedirs(directory, exist_ok=True)
         programs = [os.path.abspath(program) for program in [arguments.program, *arguments.beside]]
-        soak = Soak(programs, directory, seed, arguments.nodes, arguments.lane)
+        soak = Soak(programs, directory, seed, arguments.nodes, arguments.lane, arguments.until)
         try:
-            await soak.run()
+            await soak.run_until_broken()
         finally:
             await soak.shut_down()
             # The stand-ins' open connections end with the loop; asyncio reports each of them as cancelled.
             asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    forms = collections.Counter(line.split(":", 1)[0] for line in soak.rules.violations)
+    print(f"seed {seed} " + " ".join(f"{form}={count}" for form, count in sorted(forms.items())))
     for line in soak.rules.violations[:20]:
         print(f"seed {seed} broken {line}")
     print(f"seed {seed} {'passed' if not soak.rules.violations else 'FAILED'}", flush=True)
@@ -298,6 +348,7 @@
     parser.add_argument("--seeds", default="", help="seeds with commas, or FIRST-LAST; default: a fresh one")
     parser.add_argument("--nodes", type=int, default=4, help="gateway processes")
     parser.add_argument("--lane", type=int, default=0, help="0 to 80: another range of addresses, for runs side by side")
+    parser.add_argument("--until", default="", metavar="RULE", help="end a run once this rule is broken")
     parser.add_argument("--logs", help="folder that keeps the logs of the gateways, one folder per seed")
     arguments = parser.parse_args()
     if "-" in arguments.seeds:
