Count the time-out that a route had in the time for which a stream's origin matters

Cause: streams that began under the longer time-out can be resumed for longer than the present one says, and former services and versions no longer counted.

Now the longest time-out of the route within the last ten minutes decides.

--- a/source/gateway/FormerRoutes.cpp
+++ b/source/gateway/FormerRoutes.cpp
@@ -36,8 +36,10 @@
 
 void FormerRoutes::replace(const Configuration& previous, const Configuration& next, core::TimePoint now)
 {
-    while (!this->routes.empty() && now - this->routes.front().replacedAt > retention)
-        this->routes.pop_front();
+    for (auto* former : { &this->routes, &this->slowerRoutes }) {
+        while (!former->empty() && now - former->front().replacedAt > retention)
+            former->pop_front();
+    }
     std::map<std::pair<std::string_view, std::string_view>, const Route*> remaining;
     for (const auto& route : next.routes)
         remaining[{ route.host, route.pathPrefix }] = &route;
@@ -45,6 +47,8 @@
         const auto found = remaining.find({ route.host, route.pathPrefix });
         if (found == remaining.end() || found->second->services != route.services)
             this->routes.push_back({ route, now });
+        else if (found->second->timeout < route.timeout)
+            this->slowerRoutes.push_back({ route, now });
     }
     const RouteTable before(previous.routes);
     for (const auto& route : next.routes) {
@@ -54,6 +58,18 @@
     }
 }
 
+core::Duration FormerRoutes::longestTimeout(const Route& route, core::TimePoint now) const
+{
+    auto longest = route.timeout;
+    for (const auto* former : { &this->routes, &this->slowerRoutes }) {
+        for (const auto& each : *former) {
+            if (now - each.replacedAt <= retention && overlap(each.route, route))
+                longest = std::max(longest, each.route.timeout);
+        }
+    }
+    return longest;
+}
+
 bool FormerRoutes::changedWithin(const Route& route, core::Duration window, core::TimePoint now) const
 {
     return std::any_of(this->routes.begin(), this->routes.end(),
--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -97,6 +97,8 @@
     void resumeAtOnlyVersion(FlowId id, const std::function<void()>& otherwise);
     /// \brief Looks for the origin at other nodes and in the store; calls `ifUnknown` if it is not known there.
     void searchStreamOrigin(FlowId id, const std::function<void()>& ifUnknown);
+    /// \brief Time for which a stream's origin matters after a service or a software version of it has left.
+    [[nodiscard]] core::Duration originWindow(const Route& route, core::TimePoint now) const;
     /// \brief Services that may have begun the stream that the call resumes.
     [[nodiscard]] std::set<std::string> originServices(const Flow& flow) const;
     /// \brief Resumes the stream at its origin, or refuses the call if its route no longer permits that service.
--- a/source/gateway/GatewayResumption.cpp
+++ b/source/gateway/GatewayResumption.cpp
@@ -17,17 +17,11 @@
 /// \brief Retry delay for callers whose stream could not begin because no version of its service was listed.
 constexpr core::Duration retryAfterUnlisted = std::chrono::milliseconds(500);
 
-/// \brief Time after its start within which a stream of the route may be resumed: callers resume it within their
-/// deadline, which can be later than the time-out of the route.
-core::Duration resumptionTime(const Route& route)
+/// \brief Time after its start within which a stream of a route with the time-out may be resumed: callers resume it
+/// within their deadline, which can be later than the time-out.
+core::Duration resumptionTime(core::Duration timeout)
 {
-    return route.timeout * 2;
-}
-
-/// \brief Time for which a stream's origin matters after a service or a software version of it has left.
-core::Duration originWindow(const Route& route)
-{
-    return resumptionTime(route) + versionListingMargin;
+    return timeout * 2;
 }
 
 /// \brief Name of the stream that the call begins or resumes.
@@ -44,11 +38,17 @@
 
 } // namespace
 
+core::Duration Gateway::originWindow(const Route& route, core::TimePoint now) const
+{
+    return resumptionTime(this->formerRoutes.longestTimeout(route, now)) + versionListingMargin;
+}
+
 std::set<std::string> Gateway::originServices(const Flow& flow) const
 {
     const auto id = placementId(flow.call);
     const auto key = id ? std::optional(core::hash64(*id)) : std::nullopt;
-    return this->formerRoutes.servicesWithin(*flow.route, key, originWindow(*flow.route), flow.arrivedAt);
+    return this->formerRoutes.servicesWithin(
+        *flow.route, key, this->originWindow(*flow.route, flow.arrivedAt), flow.arrivedAt);
 }
 
 void Gateway::findStreamOrigin(FlowId id)
@@ -62,7 +62,7 @@
     if (this->originServices(flow).size() != 1)
         this->searchStreamOrigin(id, refuse);
     // The route may have changed before this node read its first configuration.
-    else if (flow.arrivedAt - this->configuredSince <= originWindow(*flow.route))
+    else if (flow.arrivedAt - this->configuredSince <= this->originWindow(*flow.route, flow.arrivedAt))
         this->searchStreamOrigin(id, [this, id, refuse] { this->resumeAtOnlyVersion(id, refuse); });
     else
         this->resumeAtOnlyVersion(id, [this, id, refuse] { this->searchStreamOrigin(id, refuse); });
@@ -71,8 +71,8 @@
 void Gateway::resumeAtOnlyVersion(FlowId id, const std::function<void()>& otherwise)
 {
     const auto& flow = *this->find(id);
-    this->dependencies.serviceVersions.inServiceWithin(
-        flow.service->name, originWindow(*flow.route), [this, id, otherwise](ServiceVersions::Candidates candidates) {
+    this->dependencies.serviceVersions.inServiceWithin(flow.service->name,
+        this->originWindow(*flow.route, flow.arrivedAt), [this, id, otherwise](ServiceVersions::Candidates candidates) {
             const auto* const waiting = this->find(id);
             if (waiting == nullptr)
                 return;
@@ -189,9 +189,9 @@
 void Gateway::noteStreamOrigin(const Flow& flow, core::TimePoint now)
 {
     const bool several = this->dependencies.serviceVersions.severalInService(flow.service->name)
-        || this->formerRoutes.changedWithin(*flow.route, originWindow(*flow.route), now);
+        || this->formerRoutes.changedWithin(*flow.route, this->originWindow(*flow.route, now), now);
     const StreamOrigin origin { flow.service->name, *flow.streamVersion };
-    const auto resumable = resumptionTime(*flow.route);
+    const auto resumable = resumptionTime(flow.route->timeout);
     // A caller may name the call that resumed the stream last instead of the one that began it.
     for (const auto& name : std::set { streamName(flow.call), flow.call.id }) {
         this->dependencies.peerService.noteStream({ name, origin, resumable }, several, now);
--- a/tests/GatewayStreamServiceTests.cpp
+++ b/tests/GatewayStreamServiceTests.cpp
@@ -167,6 +167,34 @@
     EXPECT_EQ(origins(wide, narrow, 1), (std::set<std::string> { "other" }));
 }
 
+// Guards against a stream that is resumed at another service because its route has a shorter time-out now.
+TEST(GatewayStreamService, AStreamFromBeforeAShorterTimeoutIsNotResumedAtTheNewService)
+{
+    for (const bool shortenedFirst : { false, true }) {
+        TwoServices services;
+        auto& world = services.world;
+        const auto now = core::monotonicNow();
+        const auto configure = [&world](const std::string& service, std::chrono::seconds timeout, core::TimePoint at) {
+            auto route = resumableRoute();
+            route.host = "h";
+            route.pathPrefix = "/p/";
+            route.timeout = timeout;
+            route.services = { { service, 1 } };
+            gateway::Configuration configuration;
+            configuration.services = { { service, "/health", 10, std::nullopt } };
+            configuration.routes = { route };
+            world.gateway.configure(std::make_shared<const gateway::Configuration>(configuration), at);
+        };
+        configure("old", std::chrono::seconds(30), now - std::chrono::seconds(300));
+        if (shortenedFirst)
+            configure("old", std::chrono::seconds(3), now - std::chrono::seconds(21));
+        configure("new", std::chrono::seconds(3), now - std::chrono::seconds(20));
+        ASSERT_TRUE(runUntil(world.context, [&world] { return !world.versions.listed("new").empty(); }));
+        EXPECT_EQ(world.ask("b", resumption("a"))->status, 503);
+        EXPECT_TRUE(services.newEndpoint.requests.empty());
+    }
+}
+
 // Guards against joined services when another node served the stream before the route moved or was split.
 TEST(GatewayStreamService, AnotherNodeFindsTheServiceOfAStreamInItsRow)
 {
