Resume no stream whose note could not be read

Cause: a failed read and a missing note were the same to the gateway, and such a node decides by the route where there is no note.

Now a failed read refuses the call as not run, unless peers confirm an outage of the store, in which the last known state counts as before.

--- a/source/gateway/GatewayResumption.cpp
+++ b/source/gateway/GatewayResumption.cpp
@@ -97,12 +97,20 @@
         else
             ifUnknown();
     };
+    const auto rowRead = [this, id, searched](const StoreResult<std::optional<StreamOrigin>>& origin) {
+        if (origin)
+            searched(*origin);
+        else if (this->dependencies.storeHealth.isOutageConfirmed(core::monotonicNow()))
+            searched(std::nullopt);
+        else if (this->find(id) != nullptr)
+            this->refuseResumption(id, "stream_origin_unknown");
+    };
     this->dependencies.peerService.findStream(
-        stream, core::monotonicNow(), [this, id, stream, searched](const std::optional<StreamOrigin>& origin) {
+        stream, core::monotonicNow(), [this, id, stream, searched, rowRead](const std::optional<StreamOrigin>& origin) {
             if (origin || this->find(id) == nullptr)
                 searched(origin);
             else
-                this->dependencies.streamVersionRows.read(stream, searched);
+                this->dependencies.streamVersionRows.read(stream, rowRead);
         });
 }
 
--- a/source/gateway/StreamVersionRows.cpp
+++ b/source/gateway/StreamVersionRows.cpp
@@ -47,7 +47,7 @@
 }
 
 void StreamVersionRows::read(
-    const std::string& stream, const std::function<void(const std::optional<StreamOrigin>&)>& done)
+    const std::string& stream, const std::function<void(const StoreResult<std::optional<StreamOrigin>>&)>& done)
 {
     const auto key = rowKey(stream);
     RowRange range;
@@ -56,10 +56,15 @@
     range.from = key.key;
     range.limit = 1;
     this->store.read(range, this->storeHealth.callTimeout(), [key, done](const StoreResult<RowPage>& page) {
+        if (!page) {
+            done(tl::unexpected(page.error()));
+            return;
+        }
         wire::StreamVersionRecord record;
-        const bool found = page && !page->rows.empty() && page->rows.front().key.key == key.key
+        const bool found = !page->rows.empty() && page->rows.front().key.key == key.key
             && record.ParseFromString(page->rows.front().value);
-        done(found ? std::optional(StreamOrigin { record.service(), record.version() }) : std::nullopt);
+        done(
+            found ? std::optional(StreamOrigin { record.service(), record.version() }) : std::optional<StreamOrigin>());
     });
 }
 
--- a/source/gateway/StreamVersionRows.h
+++ b/source/gateway/StreamVersionRows.h
@@ -32,8 +32,9 @@
     void setNodeCount(std::size_t count) { this->nodeCount = std::max<std::size_t>(count, 1); }
     /// \brief Writes the row unless this node has used up its part of the rate; a failed write is not repeated.
     void write(const std::string& stream, const StreamOrigin& origin, core::Duration resumable, core::TimePoint now);
-    /// \brief Reads the origin of the stream; empty if there is no row or the store does not respond.
-    void read(const std::string& stream, const std::function<void(const std::optional<StreamOrigin>&)>& done);
+    /// \brief Reads the origin of the stream; empty if there is no row.
+    void read(
+        const std::string& stream, const std::function<void(const StoreResult<std::optional<StreamOrigin>>&)>& done);
     /// \brief Expiry of a row in milliseconds of the store's clock; empty if the row cannot be decoded.
     [[nodiscard]] static std::optional<std::uint64_t> keptUntilMs(const Row& row);
 
--- a/tests/GatewayStreamServiceTests.cpp
+++ b/tests/GatewayStreamServiceTests.cpp
@@ -245,6 +245,22 @@
     EXPECT_TRUE(after.newEndpoint.requests.empty());
 }
 
+// Guards against a stream whose note can't be read and that is resumed as if there were none.
+TEST(GatewayStreamService, ANodeThatCannotReadTheNoteOfAStreamDoesNotResumeIt)
+{
+    TwoServices services;
+    auto& world = services.world;
+    services.route({ "new" });
+    const auto reads = world.store.reads;
+    world.store.fault = StoreFault::Overloaded;
+    const auto seen = world.call("b", resumption("a"));
+    ASSERT_TRUE(runUntil(world.context, [&world, reads] { return world.store.reads > reads; }));
+    world.store.fault = StoreFault::None;
+    ASSERT_TRUE(runUntil(world.context, [&seen] { return seen->end.has_value(); }));
+    EXPECT_EQ(seen->status, 503);
+    EXPECT_TRUE(services.newEndpoint.requests.empty());
+}
+
 // Guards against another service for callers that name the last of several calls that brought parts of the stream.
 TEST(GatewayStreamService, AStreamThatIsResumedTwiceStaysAtItsService)
 {
