Let a stream's own numbers outweigh those of its service

Callers got streams with a missing event (ORDER) at a service that three faulty whole streams had shown as sparse (found by the review: three streams 2, 4, 5 at a node that had just started, then 1, 2, 4 passed as complete). Cause: the verdict on the service overrode a stream that had counted 1, 2 itself. A stream that began at 0 or 1 and stepped by one counts by one, whatever its service is known for. Both new rows of EventOrders fail without the change by its condition; time stamps that happen to follow each other (50, 51, 60) still pass at a sparse service.

--- a/source/gateway/EventSequence.cpp
+++ b/source/gateway/EventSequence.cpp
@@ -52,9 +52,11 @@
         if (number <= *this->lastNumber)
             return EventOrder::Repeated;
         const bool next = number - *this->lastNumber == 1;
-        const bool consecutive
-            = !service.isSparse() && (this->consecutiveSteps.value_or(this->beganAtStart) || service.isConsecutive());
-        const bool sparse = service.isSparse() || this->consecutiveSteps == false;
+        const bool countsByOne = this->beganAtStart && this->consecutiveSteps == true;
+        const bool consecutive = countsByOne
+            || (!service.isSparse()
+                && (this->consecutiveSteps.value_or(this->beganAtStart) || service.isConsecutive()));
+        const bool sparse = !countsByOne && (service.isSparse() || this->consecutiveSteps == false);
         if (!next && (consecutive || (this->awaitsNext && !sparse)))
             return EventOrder::Missing;
         if (!this->consecutiveSteps)
--- a/tests/EventSequenceTests.cpp
+++ b/tests/EventSequenceTests.cpp
@@ -111,6 +111,10 @@
         SequenceCase { "ServiceByOne", { run({ 0, 1 }) }, EventOrder::InOrder, true, std::nullopt, Known::Consecutive },
         SequenceCase {
             "SparseFromZero", { run({ 0, 10, 20 }) }, EventOrder::InOrder, true, std::nullopt, Known::Sparse },
+        SequenceCase {
+            "ByOneAtASparseService", { run({ 1, 2, 4 }) }, EventOrder::Missing, true, std::nullopt, Known::Sparse },
+        SequenceCase { "ResumedByOneAtASparseService", { run({ 1, 2 }), run({ 4 }) }, EventOrder::Missing, true,
+            std::nullopt, Known::Sparse },
         SequenceCase { "TimeStamps", { run({ 50, 51, 60 }) }, EventOrder::InOrder, true, std::nullopt, Known::Sparse }),
     [](const auto& info) { return info.param.name; });
 
