--- a/review/harness-2/rig.py
+++ b/review/harness-2/rig.py
@@ -15,6 +15,7 @@
 import uuid
 
 import wire
+from link import Link
 from store import Store
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -126,7 +127,7 @@
         self.temporary = tempfile.TemporaryDirectory()
         self.random = random.Random()
         self.store = Store()
-        self.gateways, self.workers, self.processes = {}, {}, []
+        self.gateways, self.workers, self.processes, self.links = {}, {}, [], {}
         self.runs, self.ended, self.lines = {}, set(), []
         self.ip_base = self.find_addresses()
 
@@ -206,12 +207,17 @@
         except (OSError, asyncio.TimeoutError, wire.Lost):
             return False
 
-    async def start_worker(self, service, zone, last, slots=6, extra=0):
-        """Starts a worker under a new id at address number `last`."""
+    async def start_worker(self, service, zone, last, slots=6, extra=0, linked=False):
+        """Starts a worker under a new id at address number `last`, behind a link that can be cut if `linked`."""
         id = "i-" + uuid.uuid4().hex[:8]
         address = f"{self.ip(last)}:7500"
         command = [sys.executable, os.path.join(HERE, "worker.py"), "--id", id, "--service", service, "--zone", zone,
                    "--address", address, "--store", self.store_address, "--slots", str(slots), "--extra", str(extra)]
+        if linked:
+            command += ["--listen", f"{self.ip(last)}:7501"]
+            if last not in self.links:
+                self.links[last] = Link((self.ip(last), 7500), (self.ip(last), 7501))
+                await self.links[last].start()
         started = asyncio.Event()
 
         def line_read(text):
@@ -299,6 +305,8 @@
     # End.
 
     async def stop(self):
+        for link in self.links.values():
+            link.stop()
         for process in self.processes:
             if process.process and process.process.returncode is None:
                 await process.kill()
--- a/review/harness-2/worker.py
+++ b/review/harness-2/worker.py
@@ -134,10 +134,11 @@
     parser = argparse.ArgumentParser()
     for name in ("id", "service", "zone", "address", "store"):
         parser.add_argument(f"--{name}", required=True)
+    parser.add_argument("--listen", help="where the process listens, if its address belongs to a link")
     parser.add_argument("--slots", type=int, default=6)
     parser.add_argument("--extra", type=int, default=0)
     worker = Worker(parser.parse_args())
-    ip, _, port = worker.options.address.rpartition(":")
+    ip, _, port = (worker.options.listen or worker.options.address).rpartition(":")
     server = await asyncio.start_server(worker.serve, ip, int(port))
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, lambda: os._exit(0))
     say(what="started", worker=worker.id, pid=os.getpid())
