--- a/review/harness-2/rig.py
+++ b/review/harness-2/rig.py
@@ -288,6 +288,8 @@
                         answer.body += piece
                         answer.events = answer.body.count(b"\n\n")
                     answer.whole = True
+        except ConnectionRefusedError:
+            answer.error = "connection refused"
         except (wire.Lost, OSError) as error:
             answer.error = str(error) or type(error).__name__
         except TimeoutError:
