--- a/review/harness-2/worker.py
+++ b/review/harness-2/worker.py
@@ -1,6 +1,6 @@
 """Stand-in for one worker process (PROTOCOL.md, "Workers"). Writes what it runs to its standard output, a JSON line each.
 
-The test tells in the request's body what the work is: {"work_ms", "events", "gap_ms", "unframed", "size"}. With
+The test tells in the request's body what the work is: {"work_ms", "events", "gap_ms", "unframed", "size", "crash"}. With
 --extra N the worker is faulty: after it has answered a request for another instance with 421, it sends the same answer
 once more where the next answer on that connection is expected, N times at most."""
 
@@ -91,6 +91,9 @@
         # A turn's body is its history, in lines, and then the new input.
         work = json.loads(request.body.split(b"\n")[-1] or b"{}")
         say(what="run", worker=self.id, id=id, path=request.line[1])
+        if work.get("crash"):
+            await asyncio.sleep(0.05)
+            os._exit(1)
         head = {"X-Request-Id": id, "X-Response-Signature": f"{self.id}.{id}"}
         if work.get("events"):
             await self.stream(work, id, head, writer)
