Log what a stopping gateway takes, refuses and cuts

Change: call_admitted_while_stopping states the time until the call's deadline and until the node ends its calls, call_cut_by_stop what was cut, and gateway_stopping_calls_total counts admitted, refused and cut calls. The functions of a planned stop are in GatewayStop.cpp.

Result: no decision changes.

--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -83,7 +83,7 @@
     /// \brief From now on refuses calls that the schedule does not admit.
     void startDraining(const StopSchedule& schedule) { this->stopSchedule = schedule; }
     /// \brief Ends all calls in progress, as if their deadline had passed.
-    void endAll();
+    void endAll(core::TimePoint now);
 
     /// \brief Whether the configuration has accounts.
     [[nodiscard]] bool requiresKeys() const noexcept { return this->accounts.required(); }
@@ -103,8 +103,6 @@
     /// \brief Determines the route, account, service and deadline of a new call, and what must be known before it is
     /// sent. Returns the response if the call is refused.
     [[nodiscard]] std::optional<LocalResponse> examine(Flow& flow, core::TimePoint now) const;
-    /// \brief Whether the call can end before a planned stop of this node; always true without one.
-    [[nodiscard]] bool canEndBeforeStop(const Flow& flow, core::TimePoint now) const;
     [[nodiscard]] static BudgetRequest budgetRequest(const Flow& flow);
     void reserveBudget(FlowId id, core::TimePoint now);
     [[nodiscard]] static LocalResponse budgetResponse(BudgetAnswer refusal);
@@ -116,6 +114,13 @@
     [[nodiscard]] bool lacksListedVersion(const Flow& flow) const;
     void dispatchWhenPrepared(FlowId id);
 
+    // Planned stop (GatewayStop.cpp).
+    /// \brief Whether the call can end before a planned stop of this node; always true without one.
+    [[nodiscard]] bool canEndBeforeStop(const Flow& flow, core::TimePoint now) const;
+    /// \brief Counts a call that a stopping node `admitted`, `refused` or `cut`.
+    void countStoppingCall(std::string_view outcome);
+    void recordAdmissionWhileStopping(const Flow& flow, core::TimePoint now);
+
     // Accounts (GatewayAccounts.cpp).
     /// \brief Determines the account of a new call by its key, which is cleared.
     [[nodiscard]] Authorization authenticate(Flow& flow) const;
--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -119,9 +119,13 @@
     this->flowByConnection[newFlow.connection] = id;
     auto& flow = this->flows.emplace(id, std::move(newFlow)).first->second;
     if (const auto refusal = this->examine(flow, now)) {
+        if (refusal->code == core::ResultCode::NodeDraining)
+            this->countStoppingCall("refused");
         this->respond(id, *refusal);
         return;
     }
+    if (this->stopSchedule)
+        this->recordAdmissionWhileStopping(flow, now);
     if (flow.route->keepsHistory && flow.call.previousTurn.empty() && !this->admitsNewProgram(flow, now)) {
         this->refuseNewProgram(id);
         return;
@@ -170,18 +174,6 @@
     return std::nullopt;
 }
 
-bool Gateway::canEndBeforeStop(const Flow& flow, core::TimePoint now) const
-{
-    if (!this->stopSchedule)
-        return true;
-    auto longest = this->callDurations.longest(flow.route->name, now);
-    for (const auto& [id, other] : this->flows) {
-        if (longest && other.route && other.route->name == flow.route->name)
-            longest = std::max(*longest, now - other.arrivedAt);
-    }
-    return this->stopSchedule->admits(flow.deadline, longest, now);
-}
-
 BudgetRequest Gateway::budgetRequest(const Flow& flow)
 {
     BudgetRequest request;
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -331,18 +331,6 @@
         this->respond(id, timeOverResponse());
 }
 
-void Gateway::endAll()
-{
-    std::vector<FlowId> ids;
-    ids.reserve(this->flows.size());
-    for (const auto& [id, flow] : this->flows)
-        ids.push_back(id);
-    for (const auto id : ids) {
-        if (this->find(id) != nullptr)
-            this->expire(id);
-    }
-}
-
 bool Gateway::resumedAfterPause(core::TimePoint now)
 {
     const bool late = this->lastTickAt != core::TimePoint() && now - this->lastTickAt > maxTickDelay;
--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -442,7 +442,7 @@
         return;
     }
     if (now > schedule.endsAt())
-        this->gateway.endAll();
+        this->gateway.endAll(now);
     // Connections with a request or unsent output stay open, so they are complete once none is left.
     this->callerServer.closeIdle();
     if ((idle && this->callerServer.openConnections() == 0) || now > schedule.endsAt() + tickInterval * 2)
