Begin only what a stopping gateway must have ended before its grace

Cause: a call was admitted if twice the longest recent call of its route fitted in the rest of the grace. That is an estimate; no call is held to it.

Change: only a bound that is enforced counts, the call's deadline. It is compared before each attempt, at SIGTERM for calls that wait, and for store calls that the node relays; what can't end is refused as not run, at once, or with 502 if an attempt may have run. The grace counts from the delivery of the signal (core::recordSignalTime), and the process waits for its responses to peers. As callers may try an address again that refused a call, the node accepts no connections once calls of the longest route would be refused.

Why it works: whatever begins ends by its deadline, which lies before the end of the node; nothing else begins.

--- a/source/gateway/Flow.h
+++ b/source/gateway/Flow.h
@@ -110,7 +110,6 @@
     core::TimePoint commitStartedAt {};
     /// \brief Delays between attempts to write the turn.
     state::Backoff commitBackoff { std::chrono::milliseconds(50), std::chrono::milliseconds(250) };
-    bool reachedEndpoint = false;
     std::uint64_t eventCount = 0;
     EventSequence events;
     /// \brief Data of the last event; empty if it is too long for an end marker.
--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -2,7 +2,6 @@
 
 #include "core/Metrics.h"
 #include "core/ResultCode.h"
-#include "gateway/CallDurations.h"
 #include "gateway/ClientAccounts.h"
 #include "gateway/ConfigurationProof.h"
 #include "gateway/EndpointDirectory.h"
@@ -80,8 +79,11 @@
     /// \brief Follows which software versions the services with resumable streams have; call periodically.
     void updateServiceVersions(core::TimePoint now);
 
-    /// \brief From now on refuses calls that the schedule does not admit.
-    void startDraining(const StopSchedule& schedule) { this->stopSchedule = schedule; }
+    /// \brief From now on begins only attempts of calls that the schedule admits. Calls without an attempt in progress
+    /// that it doesn't admit are refused.
+    void startDraining(const StopSchedule& schedule);
+    /// \brief Longest time limit of any route in force; 0 without a configuration.
+    [[nodiscard]] core::Duration longestTimeout() const;
     /// \brief Ends all calls in progress, as if their deadline had passed.
     void endAll(core::TimePoint now);
 
@@ -116,7 +118,10 @@
 
     // Planned stop (GatewayStop.cpp).
     /// \brief Whether the call can end before a planned stop of this node; always true without one.
-    [[nodiscard]] bool canEndBeforeStop(const Flow& flow, core::TimePoint now) const;
+    [[nodiscard]] bool canEndBeforeStop(const Flow& flow) const;
+    /// \brief Response to a call that cannot end before the stop: refused as not run, unless it may have run.
+    [[nodiscard]] static LocalResponse stoppingResponse(const Flow& flow);
+    void refuseWhileStopping(const Flow& flow);
     /// \brief Counts a call that a stopping node `admitted`, `refused` or `cut`.
     void countStoppingCall(std::string_view outcome);
     void recordAdmissionWhileStopping(const Flow& flow, core::TimePoint now);
@@ -273,7 +278,6 @@
     policy::Random random;
     std::shared_ptr<const Configuration> configuration;
     std::optional<StopSchedule> stopSchedule;
-    CallDurations callDurations;
     RouteTable routes;
     ClientAccounts accounts;
     /// \brief Accounts that have metrics of their own.
--- a/source/gateway/GatewayAdmission.cpp
+++ b/source/gateway/GatewayAdmission.cpp
@@ -145,7 +145,9 @@
 std::optional<Gateway::LocalResponse> Gateway::examine(Flow& flow, core::TimePoint now) const
 {
     if (!this->configuration)
-        return LocalResponse { 503, core::ResultCode::NoDocument, "no_configuration", retryAfterStartup };
+        return this->stopSchedule
+            ? stoppingResponse(flow)
+            : LocalResponse { 503, core::ResultCode::NoDocument, "no_configuration", retryAfterStartup };
     flow.route = this->routes.find(flow.call.host, flow.call.path());
     if (!flow.route || flow.route->services.empty())
         return LocalResponse { 404, core::ResultCode::UnknownPath, "no_route", {} };
@@ -161,9 +163,8 @@
     flow.service = service->second;
     const auto time = std::min(flow.call.deadline.value_or(flow.route->timeout), flow.route->timeout);
     flow.deadline = now + time;
-    // Other nodes serve the caller at once.
-    if (!this->canEndBeforeStop(flow, now))
-        return LocalResponse { 503, core::ResultCode::NodeDraining, "node_stopping", {} };
+    if (!this->canEndBeforeStop(flow))
+        return stoppingResponse(flow);
     // A turn needs the whole answer, and other routes promise no resumption: their streams begin anew.
     if (flow.route->resumable && !flow.route->keepsHistory)
         flow.events = EventSequence(flow.call.lastEvent);
--- a/source/gateway/GatewayAnswers.cpp
+++ b/source/gateway/GatewayAnswers.cpp
@@ -340,8 +340,6 @@
         this->dependencies.peerService.settle(flow.call.program, *flow.reservation, flow.eventCount * perEvent, now);
     }
     const auto took = now - flow.arrivedAt;
-    if (flow.reachedEndpoint)
-        this->callDurations.record(flow.route->name, took, now);
     auto line = core::logInfo("call_ended");
     if (flow.account)
         line.with("account", flow.account->name);
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -90,7 +90,6 @@
     if (flow.hasPermit && flow.attempts > 1)
         this->dependencies.quotaService.charge(flow.account->name);
     flow.triedEndpoints.push_back(decision.endpoint);
-    flow.reachedEndpoint = true;
     platform::EndpointRequest request;
     request.endpoint = decision.endpoint;
     request.remaining = flow.deadline - now;
--- a/source/gateway/GatewayPlacement.cpp
+++ b/source/gateway/GatewayPlacement.cpp
@@ -69,6 +69,10 @@
         this->expire(id);
         return;
     }
+    if (!this->canEndBeforeStop(flow)) {
+        this->refuseWhileStopping(flow);
+        return;
+    }
     const auto request = this->placementRequest(flow);
     const auto& directory = this->dependencies.endpointDirectory;
     const auto decision
--- a/source/gateway/GatewayStop.cpp
+++ b/source/gateway/GatewayStop.cpp
@@ -6,16 +6,37 @@
 
 namespace lagoontiller::gateway {
 
-bool Gateway::canEndBeforeStop(const Flow& flow, core::TimePoint now) const
-{
-    if (!this->stopSchedule)
-        return true;
-    auto longest = this->callDurations.longest(flow.route->name, now);
-    for (const auto& [id, other] : this->flows) {
-        if (longest && other.route && other.route->name == flow.route->name)
-            longest = std::max(*longest, now - other.arrivedAt);
+bool Gateway::canEndBeforeStop(const Flow& flow) const
+{
+    return !this->stopSchedule || this->stopSchedule->admits(flow.deadline);
+}
+
+Gateway::LocalResponse Gateway::stoppingResponse(const Flow& flow)
+{
+    // Other nodes serve the caller at once, so that the response states no time to return.
+    if (flow.possibleRuns > 0 || flow.responseStarted)
+        return { 502, core::ResultCode::EndpointFailed, "node_stopping", {} };
+    return { 503, core::ResultCode::NodeDraining, "node_stopping", {} };
+}
+
+void Gateway::startDraining(const StopSchedule& schedule)
+{
+    this->stopSchedule = schedule;
+    std::vector<FlowId> waiting;
+    for (const auto& [id, flow] : this->flows) {
+        if (!flow.attempt && !flow.committing && !this->canEndBeforeStop(flow))
+            waiting.push_back(id);
+    }
+    for (const auto id : waiting) {
+        if (const auto* const flow = this->find(id))
+            this->refuseWhileStopping(*flow);
     }
-    return this->stopSchedule->admits(flow.deadline, longest, now);
+}
+
+void Gateway::refuseWhileStopping(const Flow& flow)
+{
+    this->countStoppingCall("refused");
+    this->respond(flow.id, stoppingResponse(flow));
 }
 
 void Gateway::countStoppingCall(std::string_view outcome)
@@ -33,6 +54,16 @@
         .with("node_ends_in_ms", (this->stopSchedule->endsAt() - now).count() / 1'000);
 }
 
+core::Duration Gateway::longestTimeout() const
+{
+    core::Duration longest {};
+    if (this->configuration) {
+        for (const auto& route : this->configuration->routes)
+            longest = std::max(longest, route.timeout);
+    }
+    return longest;
+}
+
 void Gateway::endAll(core::TimePoint now)
 {
     std::vector<FlowId> ids;
--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Encoding.h"
 #include "core/Log.h"
+#include "core/SignalTime.h"
 #include "gateway/impl/TurnRows.h"
 #include "platform/EntryMessages.h"
 #include "platform/Records.h"
@@ -188,6 +189,8 @@
           { [this](const Row& row) { this->lossTracker.rowChanged(row, core::monotonicNow()); },
               [](const std::string&) {} })
 {
+    core::recordSignalTime(SIGTERM);
+    core::recordSignalTime(SIGINT);
 }
 
 Node::~Node() = default;
@@ -387,7 +390,7 @@
         if (signal == SIGHUP)
             this->reloadSettings();
         else
-            this->stop();
+            this->stop(signal);
         this->waitForSignal();
     });
 }
@@ -412,17 +415,21 @@
     core::logInfo("settings_reloaded");
 }
 
-void Node::stop()
+void Node::stop(int signal)
 {
     if (this->stopSchedule)
         return;
-    this->stopStartedAt = core::monotonicNow();
+    const auto now = core::monotonicNow();
+    // The grace runs from the signal, which a busy event loop handles late.
+    this->stopStartedAt = core::signalTime(signal).value_or(now);
     this->stopSchedule.emplace(this->stopStartedAt, this->settings->stopGrace);
-    core::logInfo("node_stopping").with("in_progress", this->gateway.callsInProgress());
+    core::logInfo("node_stopping")
+        .with("in_progress", this->gateway.callsInProgress())
+        .with("noticed_after_ms", (now - this->stopStartedAt).count() / 1'000);
     this->updateReady();
     this->callerServer.startDraining();
     this->gateway.startDraining(*this->stopSchedule);
-    this->peerService.startDraining();
+    this->peerService.startDraining(*this->stopSchedule);
 }
 
 void Node::continueStop(const StopSchedule& schedule, core::TimePoint now)
@@ -430,7 +437,7 @@
     const bool idle = this->gateway.callsInProgress() == 0;
     this->tokenBudgets.returnUnusedShares();
     if (!this->leaving) {
-        if (!schedule.mayStopAccepting(idle, now))
+        if (!schedule.mayStopAccepting(idle, this->gateway.longestTimeout(), now))
             return;
         core::logInfo("node_leaving")
             .with("in_progress", this->gateway.callsInProgress())
@@ -439,13 +446,15 @@
         // If the call is lost, the other nodes remove the row.
         this->nodeRegistry.deregister();
         this->callerServer.stopAccepting();
+        this->peerServer.startDraining();
         return;
     }
     if (now > schedule.endsAt())
         this->gateway.endAll(now);
     // Connections with a request or unsent output stay open, so they are complete once none is left.
     this->callerServer.closeIdle();
-    if ((idle && this->callerServer.openConnections() == 0) || now > schedule.endsAt() + tickInterval * 2)
+    const bool owesResponse = this->callerServer.openConnections() > 0 || this->peerServer.busyConnections() > 0;
+    if ((idle && !owesResponse) || now > schedule.endsAt() + tickInterval * 2)
         this->context.stop();
 }
 
--- a/source/gateway/Node.h
+++ b/source/gateway/Node.h
@@ -41,7 +41,7 @@
     void updateReady();
     void waitForSignal();
     void reloadSettings();
-    void stop();
+    void stop(int signal);
     void continueStop(const StopSchedule& schedule, core::TimePoint now);
     void tick();
     void runPeriodicTasks(core::TimePoint now);
--- a/source/gateway/PeerService.cpp
+++ b/source/gateway/PeerService.cpp
@@ -381,8 +381,8 @@
         return;
     case wire::PeerRequest::kTransaction:
     case wire::PeerRequest::kRead:
-        this->relayServer.serve(
-            message, [this, connection](const wire::PeerResponse& response) { this->respond(connection, response); });
+        this->relayServer.serve(message, now,
+            [this, connection](const wire::PeerResponse& response) { this->respond(connection, response); });
         return;
     case wire::PeerRequest::kGiveUpOutagePart:
         this->serveGiveUpOutagePart(connection, message.give_up_outage_part());
--- a/source/gateway/PeerService.h
+++ b/source/gateway/PeerService.h
@@ -137,10 +137,12 @@
     {
         return this->homeOf(program, now).empty();
     }
-    /// \brief Refuses further reservations of other nodes; called on shutdown.
-    void startDraining()
+    /// \brief Refuses further reservations of other nodes, and store calls that the schedule doesn't admit; called on
+    /// shutdown.
+    void startDraining(const StopSchedule& schedule)
     {
         this->draining = true;
+        this->relayServer.startDraining(schedule);
         this->outageBuckets.release(this->outageTokens.size() > 0);
     }
     /// \brief Processes a message of another node and responds to it.
--- a/source/gateway/RelayServer.cpp
+++ b/source/gateway/RelayServer.cpp
@@ -4,11 +4,13 @@
 
 namespace lagoontiller::gateway {
 
-void RelayServer::serve(const wire::PeerRequest& request, ResponseHandler respond)
+void RelayServer::serve(const wire::PeerRequest& request, core::TimePoint now, ResponseHandler respond)
 {
-    if (this->storeHealth.failing()) {
+    const bool stopping = this->stopSchedule && !this->stopSchedule->admits(now + this->storeHealth.callTimeout());
+    if (stopping || this->storeHealth.failing()) {
         wire::PeerResponse response;
         response.mutable_relayed()->set_outcome(wire::RelayedAnswer::NOT_DONE);
+        response.mutable_relayed()->set_stopping(stopping);
         respond(response);
         return;
     }
--- a/source/gateway/RelayServer.h
+++ b/source/gateway/RelayServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/PeerClient.h"
+#include "gateway/StopSchedule.h"
 #include "gateway/StoreHealth.h"
 
 namespace lagoontiller::gateway {
@@ -18,12 +19,15 @@
     }
 
     /// \brief Executes a relayed transaction or read and passes on its result. Responds NOT_DONE immediately while this
-    /// node cannot reach the store either.
-    void serve(const wire::PeerRequest& request, ResponseHandler respond);
+    /// node cannot reach the store either, and if the call may not end before this node does.
+    void serve(const wire::PeerRequest& request, core::TimePoint now, ResponseHandler respond);
+    /// \brief Only calls that the schedule admits are executed from now on.
+    void startDraining(const StopSchedule& schedule) { this->stopSchedule = schedule; }
 
 private:
     RowStore& store;
     const StoreHealth& storeHealth;
+    std::optional<StopSchedule> stopSchedule;
 };
 
 } // namespace lagoontiller::gateway
--- a/source/gateway/RelayedStore.cpp
+++ b/source/gateway/RelayedStore.cpp
@@ -111,7 +111,7 @@
         }
         if (unanswered || response->relayed().outcome() == wire::RelayedAnswer::NOT_DONE) {
             this->selector.notReached(peer, now);
-            if (!unanswered)
+            if (!unanswered && !response->relayed().stopping())
                 this->storeHealth.notePeerWithoutStore(now);
             this->tryNextPeer(relay);
             return;
--- a/source/gateway/StopSchedule.cpp
+++ b/source/gateway/StopSchedule.cpp
@@ -6,15 +6,14 @@
 
 namespace {
 
-/// \brief Minimum time for which the node accepts connections: most callers have asked for new addresses then.
-constexpr core::Duration minAcceptTime = std::chrono::milliseconds(3'000);
+/// \brief Minimum time for which the node accepts connections: entry responses name it until the next heartbeat.
+constexpr core::Duration minAcceptTime = std::chrono::milliseconds(1'000);
+/// \brief Time for which a node without calls accepts connections: most callers have asked for new addresses then.
+constexpr core::Duration idleAcceptTime = std::chrono::milliseconds(3'000);
 /// \brief Time before SIGKILL at which the process ends the calls in progress itself.
 constexpr core::Duration killReserve = std::chrono::milliseconds(400);
 /// \brief Time before the end of the calls from which no connections are accepted.
 constexpr core::Duration acceptLead = std::chrono::milliseconds(1'500);
-/// \brief Margin of the longest recent call: calls may slow down while other nodes stop, too.
-constexpr int longestCallFactor = 2;
-constexpr core::Duration longestCallMargin = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -24,17 +23,11 @@
 {
 }
 
-bool StopSchedule::admits(
-    core::TimePoint deadline, std::optional<core::Duration> longestCall, core::TimePoint now) const noexcept
+bool StopSchedule::mayStopAccepting(bool idle, core::Duration longestCall, core::TimePoint now) const noexcept
 {
-    const auto expectedEnd = longestCall ? now + *longestCall * longestCallFactor + longestCallMargin : deadline;
-    return std::min(deadline, expectedEnd) <= this->end;
-}
-
-bool StopSchedule::mayStopAccepting(bool idle, core::TimePoint now) const noexcept
-{
-    const auto earliest = std::min(this->startedAt + minAcceptTime, this->end);
-    return now > this->end - acceptLead || (idle && now > earliest);
+    const auto longestCallsRefused = std::max(this->end - longestCall, this->startedAt + minAcceptTime);
+    const auto earliestIdle = std::min(this->startedAt + idleAcceptTime, this->end);
+    return now > this->end - acceptLead || now > longestCallsRefused || (idle && now > earliestIdle);
 }
 
 } // namespace lagoontiller::gateway
--- a/tests/PeersTests.cpp
+++ b/tests/PeersTests.cpp
@@ -134,6 +134,45 @@
 
 class RejectedByStore : public testing::TestWithParam<RejectionCase> { };
 
+namespace {
+
+struct RelayCase {
+    std::string name;
+    core::Duration grace;
+    bool relayed = false;
+};
+
+class RelayThroughAStoppingPeer : public testing::TestWithParam<RelayCase> { };
+
+} // namespace
+
+// Guards against a relayed write that a peer takes although its process may end first (LOST): nobody knows then whether it
+// was done. The refusal must not count as an outage of the store either.
+TEST_P(RelayThroughAStoppingPeer, IsTakenOnlyIfItCanEnd)
+{
+    PeerCluster cluster;
+    auto& node = *cluster.nodes[0];
+    node.nodeStore.failure = gateway::StoreFailure::NotDone;
+    const gateway::StopSchedule schedule(core::monotonicNow(), GetParam().grace);
+    cluster.nodes[1]->peers->startDraining(schedule);
+    const auto before = cluster.store.rows.size();
+    std::optional<gateway::StoreResult<gateway::TransactionResult>> result;
+    gateway::RowTransaction transaction;
+    transaction.puts.push_back({ { "t", "", "k" }, "v", 0, false });
+    node.store.transact(std::move(transaction), seconds(1), [&result](auto answer) { result = std::move(answer); });
+    ASSERT_TRUE(runUntil(cluster.context, [&result] { return result.has_value(); }));
+    EXPECT_EQ(result->has_value(), GetParam().relayed);
+    EXPECT_EQ(cluster.store.rows.size(), before + (GetParam().relayed ? 1 : 0));
+    if (!GetParam().relayed) {
+        EXPECT_EQ(result->error(), gateway::StoreFailure::NotDone);
+    }
+    EXPECT_FALSE(node.storeHealth.isOutageConfirmed(core::monotonicNow()));
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, RelayThroughAStoppingPeer,
+    testing::Values(RelayCase { "InTime", seconds(8), true }, RelayCase { "TooLate", milliseconds(500), false }),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against programs and conversations that make no progress at a node whose store calls fail while the store
 // serves other nodes.
 TEST_P(RejectedByStore, NodeReservesAndKeepsTurnsThroughAPeer)
--- a/tests/StopScheduleTests.cpp
+++ b/tests/StopScheduleTests.cpp
@@ -24,7 +24,7 @@
     bool admitted = false;
     bool idle = false;
     bool stopsAccepting = false;
-    std::optional<core::Duration> longestCall {};
+    core::Duration longestCall = seconds(1);
 };
 
 class StopScheduleTable : public testing::TestWithParam<ScheduleCase> { };
@@ -51,8 +51,8 @@
     const auto& each = GetParam();
     const StopSchedule schedule(start, each.grace);
     const auto now = start + each.elapsed;
-    EXPECT_EQ(schedule.admits(now + each.remaining, each.longestCall, now), each.admitted);
-    EXPECT_EQ(schedule.mayStopAccepting(each.idle, now), each.stopsAccepting);
+    EXPECT_EQ(schedule.admits(now + each.remaining), each.admitted);
+    EXPECT_EQ(schedule.mayStopAccepting(each.idle, each.longestCall, now), each.stopsAccepting);
     EXPECT_LT(schedule.endsAt(), start + std::max<core::Duration>(each.grace, milliseconds(1)));
 }
 
@@ -60,19 +60,27 @@
     testing::Values(ScheduleCase { "AtSigterm", seconds(8), seconds(0), seconds(6), true, true, false },
         ScheduleCase { "LongCallLate", seconds(8), seconds(3), seconds(6), false, false, false },
         ScheduleCase { "ShortCallLate", seconds(8), seconds(3), milliseconds(1'500), true, false, false },
-        ScheduleCase { "ShortCallsOfTheRouteLate", seconds(8), seconds(3), seconds(6), true, false, false, seconds(2) },
-        ScheduleCase { "LongCallsOfTheRouteLate", seconds(8), seconds(3), seconds(6), false, false, false, seconds(3) },
-        ScheduleCase {
-            "CallsOfTheRouteBeyondTheDeadline", seconds(8), seconds(3), seconds(4), true, false, false, seconds(5) },
+        ScheduleCase { "LastCallThatEndsInTime", seconds(8), seconds(3), milliseconds(4'600), true, false, false },
+        ScheduleCase { "FirstCallThatMayNot", seconds(8), seconds(3), milliseconds(4'601), false, false, false },
+        ScheduleCase { "DeadlineWithinTheGrace", seconds(8), seconds(3), seconds(4), true, false, false },
         ScheduleCase { "IdleAfterMostCallersHaveLeft", seconds(8), milliseconds(3'050), seconds(1), true, true, true },
         ScheduleCase { "BusyNode", seconds(8), seconds(6), milliseconds(1'500), true, false, false },
         ScheduleCase { "BusyNodeNearTheEnd", seconds(8), milliseconds(6'150), milliseconds(1'500), false, false, true },
+        ScheduleCase { "LongestCallsJustAdmitted", seconds(8), milliseconds(1'600), seconds(6), true, false, false,
+            seconds(6) },
+        ScheduleCase { "LongestCallsRefused", seconds(8), milliseconds(1'601), seconds(6), false, false, true,
+            seconds(6) },
+        ScheduleCase { "LongestCallsNeverAdmitted", seconds(8), milliseconds(1'000), seconds(1), true, false, false,
+            seconds(20) },
+        ScheduleCase { "LongestCallsNeverAdmittedLater", seconds(8), milliseconds(1'001), seconds(1), true, false, true,
+            seconds(20) },
         ScheduleCase { "TimeoutBeyondTheGrace", seconds(8), seconds(0), seconds(10), false, false, false },
         ScheduleCase { "ShortGrace", seconds(2), seconds(0), seconds(1), true, false, false },
         ScheduleCase { "NoGrace", seconds(0), seconds(0), milliseconds(1), false, false, true }),
     [](const auto& info) { return info.param.name; });
 
-// Guards against a stopping node that passes on a request which it will cut off, and against refusing it late.
+// Guards against a stopping node that passes on a request which it will cut off (LOST), also because calls before it were
+// short, and against refusing it late.
 TEST_P(CallAtStoppingNode, IsServedWholeOrRefusedAtOnce)
 {
     const auto& each = GetParam();
@@ -108,23 +116,12 @@
         StopCase { "Stream", CallKind::Streaming, seconds(5), {}, 503, 0 },
         StopCase { "NonIdempotentInTime", CallKind::NonIdempotent, seconds(5), "1500", 200, 1 },
         StopCase { "StreamInTime", CallKind::Streaming, seconds(5), "1500", 200, 1 },
-        StopCase { "NonIdempotentAfterShortOnes", CallKind::NonIdempotent, seconds(5), {}, 200, 1, true },
-        StopCase { "StreamAfterShortOnes", CallKind::Streaming, seconds(5), {}, 200, 1, true },
+        StopCase { "NonIdempotentAfterShortOnes", CallKind::NonIdempotent, seconds(5), {}, 503, 0, true },
+        StopCase { "IdempotentAfterShortOnes", CallKind::Idempotent, seconds(5), {}, 503, 0, true },
+        StopCase { "StreamAfterShortOnes", CallKind::Streaming, seconds(5), {}, 503, 0, true },
+        StopCase { "StreamInTimeAfterShortOnes", CallKind::Streaming, seconds(5), "1500", 200, 1, true },
         StopCase { "NoTimeLeftAfterShortOnes", CallKind::NonIdempotent, milliseconds(450), {}, 503, 0, true },
         StopCase { "TimeoutInTime", CallKind::NonIdempotent, seconds(8), {}, 200, 1 }),
     [](const auto& info) { return info.param.name; });
 
-// Guards against an estimate from calls of long ago, and against one that a single short call lowers.
-TEST(CallDurations, KeepsTheLongestRecentCallOfEachRoute)
-{
-    gateway::CallDurations durations;
-    EXPECT_FALSE(durations.longest("r", start).has_value());
-    durations.record("r", seconds(3), start);
-    durations.record("r", seconds(1), start + seconds(15));
-    durations.record("other", seconds(5), start);
-    EXPECT_EQ(durations.longest("r", start + seconds(29)), seconds(3));
-    EXPECT_EQ(durations.longest("r", start + seconds(45)), seconds(1));
-    EXPECT_FALSE(durations.longest("r", start + seconds(80)).has_value());
-}
-
 } // namespace lagoontiller::tests
