Log the connection of attempts that were refused or failed

Cause: two lines attempt_refused status=421 of one call fit two processes that refuse it as well as one late copy of the first refusal.

Change: attempt_refused and attempt_failed state the connection, the number of the exchange on it and the time since the request was sent; gateway_extra_responses counts responses to earlier requests.

Result: no decision changes.

--- a/source/gateway/Flow.h
+++ b/source/gateway/Flow.h
@@ -27,6 +27,7 @@
     }
 
     transport::ExchangeId exchange = 0;
+    transport::ConnectionUse connection;
     std::string endpoint;
     std::string address;
     /// \brief Identifies the endpoint's process, like `Endpoint::startedAt`.
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -134,6 +134,7 @@
         = this->dependencies.endpointDirectory.holdBytes(decision.endpoint, request.body.size());
     flow.attempt->exchange = this->dependencies.endpoints.send(
         decision.address, platform::encodeRequest(flow.call, request), std::move(options), std::move(events));
+    flow.attempt->connection = this->dependencies.endpoints.connectionOf(flow.attempt->exchange);
 }
 
 void Gateway::recordPrompt(Flow& flow, const PlacementDecision& decision, core::TimePoint now)
@@ -231,7 +232,10 @@
     core::logInfo("attempt_refused")
         .with("id", flow.call.id)
         .with("endpoint", flow.attempt->endpoint)
-        .with("status", flow.attempt->response->status);
+        .with("status", flow.attempt->response->status)
+        .with("connection", flow.attempt->connection.connection)
+        .with("exchange", flow.attempt->connection.exchange)
+        .with("after_ms", (now - flow.attempt->sentAt).count() / 1'000);
     this->dependencies.metrics.add("gateway_attempts_refused_total", { { "service", flow.service->name } });
     this->dependencies.endpointDirectory.callRefused(flow.attempt->endpoint, now);
     this->recordFirstEvent(flow, false, now);
@@ -256,6 +260,8 @@
         .with("cause", cause)
         .with("events", flow.eventCount)
         .with("last_event", flow.events.last().value_or(0))
+        .with("connection", flow.attempt->connection.connection)
+        .with("exchange", flow.attempt->connection.exchange)
         .with("after_ms", (now - flow.attempt->sentAt).count() / 1'000);
     this->dependencies.metrics.add("gateway_attempts_failed_total", { { "cause", std::string(cause) } });
     // A single broken connection may be caused by the response. It counts as a server error until the loss of the
--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -509,6 +509,8 @@
     this->metrics.set("gateway_calls_in_progress", {}, static_cast<double>(this->gateway.callsInProgress()));
     this->metrics.set("gateway_request_bytes", {}, static_cast<double>(this->callerServer.heldRequestBytes()));
     this->metrics.set("gateway_output_bytes", {}, static_cast<double>(this->callerServer.queuedOutputBytes()));
+    this->metrics.set("gateway_extra_responses", { { "from", "endpoints" } },
+        static_cast<double>(this->endpointPool.skippedResponses()));
     this->metrics.set("gateway_store_lost", {}, this->storeHealth.unreachable() ? 1 : 0);
 }
 
--- a/source/transport/ClientPool.cpp
+++ b/source/transport/ClientPool.cpp
@@ -48,6 +48,7 @@
     asio::ip::tcp::socket socket;
     Parser parser;
     ExchangeId exchange = 0;
+    ConnectionUse use;
     ExchangeEvents events;
     ExchangeOptions options;
     std::string request;
@@ -96,6 +97,7 @@
     if (!reused)
         connection = std::make_shared<Connection>(this->context, address);
     connection->exchange = id;
+    ++connection->use.exchange;
     connection->events = std::move(events);
     connection->request = std::move(request);
     connection->connectDeadline = now + options.connectTimeout;
@@ -179,6 +181,12 @@
     return result;
 }
 
+ConnectionUse ClientPool::connectionOf(ExchangeId exchange) const
+{
+    const auto found = this->exchanges.find(exchange);
+    return found == this->exchanges.end() ? ConnectionUse() : found->second->use;
+}
+
 ClientPool::ConnectionPointer ClientPool::takeIdleConnection(
     const std::string& address, core::Duration maxIdleTime, core::TimePoint now)
 {
@@ -196,7 +204,7 @@
 
 void ClientPool::connect(const ConnectionPointer& connection)
 {
-    ++this->openedConnectionCount;
+    connection->use.connection = ++this->openedConnectionCount;
     const auto address = document::parseAddress(connection->address);
     asio::error_code error;
     const auto ip = address ? asio::ip::make_address(address->ip, error) : asio::ip::address();
@@ -349,6 +357,7 @@
 {
     if (connection->skippingResponse) {
         connection->skippingResponse = false;
+        ++this->skippedResponseCount;
         const bool reusable = connection->parser.keepAlive() && connection->parser.framing() != Framing::UntilClose;
         connection->parser.reset();
         if (!reusable)
--- a/source/transport/ClientPool.h
+++ b/source/transport/ClientPool.h
@@ -63,6 +63,15 @@
     [[nodiscard]] bool operator==(const OtherConnections&) const = default;
 };
 
+/// \brief The connection that carries an exchange, for logs.
+struct ConnectionUse {
+    /// \brief Number of the connection within its pool, from 1.
+    std::uint64_t connection = 0;
+    /// \brief Number of the exchange on that connection, from 1.
+    std::uint64_t exchange = 0;
+    [[nodiscard]] bool operator==(const ConnectionUse&) const = default;
+};
+
 struct ExchangeOptions {
     core::Duration connectTimeout = std::chrono::milliseconds(1'000);
     /// \brief An idle connection is reused only if its last response ended at most this long ago.
@@ -106,6 +115,10 @@
     void closeIdle(const std::string& address);
     /// \brief What has happened on the connections to the address since `since`, which is at most `lossMemory` ago.
     [[nodiscard]] OtherConnections otherConnections(const std::string& address, core::TimePoint since) const;
+    /// \brief The connection of an exchange in progress; all 0 for an unknown one.
+    [[nodiscard]] ConnectionUse connectionOf(ExchangeId exchange) const;
+    /// \brief Number of responses so far that belonged to another request than the one in progress.
+    [[nodiscard]] std::size_t skippedResponses() const noexcept { return this->skippedResponseCount; }
     /// \brief Number of connections opened so far, including failed attempts.
     [[nodiscard]] std::size_t openedConnections() const noexcept { return this->openedConnectionCount; }
 
@@ -156,6 +169,7 @@
     std::deque<LostConnection> lostConnections;
     ExchangeId lastId = 0;
     std::size_t openedConnectionCount = 0;
+    std::size_t skippedResponseCount = 0;
 };
 
 } // namespace lagoontiller::transport
