Send no request on a connection that has carried its id

Cause: a response is told from a late copy of an earlier one by the id of the request. All attempts of a call have the caller's id, and idle connections are chosen by address, so that the second attempt, at the new process on an address, went out on the connection of the first; the copy of its 421 passed for the answer, and a third worker got the request. Evidence: connection=1 exchange=2 after_ms=0 in attempt_refused.

It carries exchanges with ids or exchanges without, never both. A connection with unread bytes carries no request without an id. Messages between nodes have an id, which the response repeats. Callbacks of an attempt that has ended are ignored.

Why it works: an id on a connection belongs to one exchange, so that no response on it can fit another.

--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -214,6 +214,8 @@
 
     // Attempts (GatewayAttempts.cpp).
     void sendAttempt(Flow& flow, const PlacementDecision& decision, core::TimePoint now);
+    /// \brief Whether this attempt of the call, numbered from 1, has neither ended nor been abandoned.
+    [[nodiscard]] bool isInProgress(FlowId id, int attempt);
     /// \brief Counts the call's prompt in the backlog of its endpoint, and announces a long one.
     void recordPrompt(Flow& flow, const PlacementDecision& decision, core::TimePoint now);
     void attemptEnded(FlowId id, transport::ExchangeEnd end);
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -112,9 +112,19 @@
         options.maxBodyBytes = maxStreamBytes;
     platform::setResponseMatching(options, flow.call);
     transport::ExchangeEvents events;
-    events.head = [this, id](transport::ResponseHead&& head) { this->handleResponseHead(id, std::move(head)); };
-    events.body = [this, id](std::string&& bytes) { this->handleResponseBody(id, std::move(bytes)); };
-    events.ended = [this, id](ExchangeEnd end) { this->attemptEnded(id, end); };
+    const auto attempt = flow.attempts;
+    events.head = [this, id, attempt](transport::ResponseHead&& head) {
+        if (this->isInProgress(id, attempt))
+            this->handleResponseHead(id, std::move(head));
+    };
+    events.body = [this, id, attempt](std::string&& bytes) {
+        if (this->isInProgress(id, attempt))
+            this->handleResponseBody(id, std::move(bytes));
+    };
+    events.ended = [this, id, attempt](ExchangeEnd end) {
+        if (this->isInProgress(id, attempt))
+            this->attemptEnded(id, end);
+    };
     const auto* const endpoint = this->dependencies.endpointDirectory.find(decision.endpoint);
     core::logInfo("call_sent")
         .with("id", flow.call.id)
@@ -137,6 +147,12 @@
     flow.attempt->connection = this->dependencies.endpoints.connectionOf(flow.attempt->exchange);
 }
 
+bool Gateway::isInProgress(FlowId id, int attempt)
+{
+    const auto* const flow = this->find(id);
+    return flow != nullptr && flow->attempt && flow->attempts == attempt;
+}
+
 void Gateway::recordPrompt(Flow& flow, const PlacementDecision& decision, core::TimePoint now)
 {
     const auto work = this->promptWork(flow);
--- a/source/gateway/PeerClient.cpp
+++ b/source/gateway/PeerClient.cpp
@@ -20,9 +20,15 @@
 void PeerClient::send(const std::string& peer, const wire::PeerRequest& request, ResponseHandler done)
 {
     const auto body = request.SerializeAsString();
-    auto text
-        = "POST /peer HTTP/1.1\r\nHost: " + peer + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     transport::ExchangeOptions options;
+    options.echoFieldName = exchangeField;
+    options.echoFieldValue = std::to_string(++this->lastMessage);
+    options.echoIsOptional = true;
+    std::string text = "POST /peer HTTP/1.1\r\n";
+    transport::appendField(text, "Host", peer);
+    transport::appendField(text, exchangeField, options.echoFieldValue);
+    transport::appendField(text, "Content-Length", std::to_string(body.size()));
+    text.append("\r\n");
     options.connectTimeout = connectTimeout;
     options.maxIdleTime = maxIdleTime;
     options.responseTimeout = responseTimeout;
--- a/source/gateway/PeerClient.h
+++ b/source/gateway/PeerClient.h
@@ -20,6 +20,9 @@
     /// \brief Receives null if the peer did not respond; the peer may have processed the message nevertheless.
     using ResponseHandler = std::function<void(const wire::PeerResponse*)>;
 
+    /// \brief Field of a message that its response repeats.
+    static constexpr auto exchangeField = "Exchange-Id";
+
     explicit PeerClient(transport::ClientPool& pool)
         : pool(pool)
     {
@@ -32,6 +35,7 @@
 
 private:
     transport::ClientPool& pool;
+    std::uint64_t lastMessage = 0;
     std::unordered_map<std::string, core::TimePoint> suspectUntil;
 };
 
--- a/source/gateway/PeerService.cpp
+++ b/source/gateway/PeerService.cpp
@@ -33,6 +33,7 @@
     , outageBuckets(dependencies.outageBuckets)
     , incarnation(core::randomHex(8))
 {
+    this->server.setEchoField(PeerClient::exchangeField);
     this->tokenBudgets.setShareHolders({ [this](const std::string& nodeKey) {
                                             const auto at = nodeKey.rfind(':');
                                             return this->nodeRegistry.isAlive(
--- a/source/transport/ClientPool.cpp
+++ b/source/transport/ClientPool.cpp
@@ -1,6 +1,7 @@
 #include "transport/ClientPool.h"
 
 #include "document/Address.h"
+#include "transport/SentIdentifiers.h"
 #include "transport/SocketOptions.h"
 
 #include <algorithm>
@@ -49,6 +50,9 @@
     Parser parser;
     ExchangeId exchange = 0;
     ConnectionUse use;
+    /// \brief Whether its exchanges have an echo field, and the values that were sent.
+    bool identified = false;
+    SentIdentifiers identifiers;
     ExchangeEvents events;
     ExchangeOptions options;
     std::string request;
@@ -92,12 +96,15 @@
 {
     const auto now = core::monotonicNow();
     const auto id = ++this->lastId;
-    auto connection = this->takeIdleConnection(address, options.maxIdleTime, now);
+    auto connection = this->takeIdleConnection(address, options, now);
     const bool reused = connection != nullptr;
     if (!reused)
         connection = std::make_shared<Connection>(this->context, address);
     connection->exchange = id;
     ++connection->use.exchange;
+    connection->identified = !options.echoFieldName.empty();
+    if (connection->identified)
+        connection->identifiers.add(options.echoFieldValue);
     connection->events = std::move(events);
     connection->request = std::move(request);
     connection->connectDeadline = now + options.connectTimeout;
@@ -188,20 +195,34 @@
 }
 
 ClientPool::ConnectionPointer ClientPool::takeIdleConnection(
-    const std::string& address, core::Duration maxIdleTime, core::TimePoint now)
+    const std::string& address, const ExchangeOptions& options, core::TimePoint now)
 {
     const auto found = this->idle.find(address);
-    if (found == this->idle.end())
+    if (found == this->idle.end() || options.maxIdleTime == core::Duration::zero())
         return nullptr;
     auto& connections = found->second;
-    if (connections.empty()
-        || now - connections.back()->idleSince > std::min(maxIdleTime, connections.back()->keepAliveTimeout))
+    const auto taken = std::find_if(connections.rbegin(), connections.rend(), [&options, now](const auto& connection) {
+        return now - connection->idleSince <= std::min(options.maxIdleTime, connection->keepAliveTimeout)
+            && attributesResponses(*connection, options);
+    });
+    if (taken == connections.rend())
         return nullptr;
-    auto connection = std::move(connections.back());
-    connections.pop_back();
+    auto connection = *taken;
+    connections.erase(std::next(taken).base());
     return connection;
 }
 
+bool ClientPool::attributesResponses(const Connection& connection, const ExchangeOptions& options)
+{
+    if (connection.identified != !options.echoFieldName.empty())
+        return false;
+    if (connection.identified)
+        return !connection.identifiers.contains(options.echoFieldValue);
+    // Without identifiers, bytes that arrived before the request are all that can be told apart.
+    asio::error_code error;
+    return connection.socket.available(error) == 0 && !error;
+}
+
 void ClientPool::connect(const ConnectionPointer& connection)
 {
     connection->use.connection = ++this->openedConnectionCount;
@@ -321,7 +342,7 @@
         return Attribution::ThisRequest;
     const auto echoed = connection.parser.fields().find(connection.options.echoFieldName);
     if (!echoed)
-        return Attribution::Unknown;
+        return connection.options.echoIsOptional ? Attribution::ThisRequest : Attribution::Unknown;
     return *echoed == connection.options.echoFieldValue ? Attribution::ThisRequest : Attribution::OtherRequest;
 }
 
@@ -378,7 +399,8 @@
     auto& parser = connection->parser;
     const auto peerTimeout = peerKeepAliveTimeout(parser.fields());
     const bool reusable = parser.keepAlive() && parser.framing() != Framing::UntilClose && !connection->writing
-        && connection->keepAliveTimeout > core::Duration::zero() && peerTimeout > keepAliveMargin;
+        && connection->keepAliveTimeout > core::Duration::zero() && peerTimeout > keepAliveMargin
+        && !connection->identifiers.full();
     if (!reusable) {
         this->close(connection);
         return;
--- a/source/transport/ClientPool.h
+++ b/source/transport/ClientPool.h
@@ -74,7 +74,7 @@
 
 struct ExchangeOptions {
     core::Duration connectTimeout = std::chrono::milliseconds(1'000);
-    /// \brief An idle connection is reused only if its last response ended at most this long ago.
+    /// \brief An idle connection is reused only if its last response ended at most this long ago; 0 for a new one.
     core::Duration maxIdleTime = std::chrono::seconds(4);
     /// \brief Time limit from `send` to the end of the response; 0 sets no limit, and the caller cancels the exchange.
     core::Duration responseTimeout {};
@@ -87,10 +87,13 @@
     std::function<bool()> mayBeSent;
     /// \brief Expected value of the response field `echoFieldName`. A response with another value belongs to another
     /// request and is skipped. A response without the field cannot be attributed to a request and is rejected as
-    /// malformed.
+    /// malformed. Requests with the same value are never sent on the same connection.
     std::string echoFieldValue;
-    /// \brief Response field that repeats an identifier of the request; empty for no check.
+    /// \brief Response field that repeats an identifier of the request; empty for no check. A connection carries either
+    /// exchanges with such a field or exchanges without one.
     std::string echoFieldName;
+    /// \brief Accepts a response without the field, for peers of versions that don't repeat it.
+    bool echoIsOptional = false;
 };
 
 /// \brief HTTP/1.1 client on one thread that reuses idle connections to the same address. Never sends a request twice.
@@ -134,10 +137,12 @@
     };
     using ConnectionPointer = std::shared_ptr<Connection>;
 
-    /// \brief Removes the connection that became idle last from the pool; null when there is none or it was idle for
-    /// longer than `maxIdleTime` or its keep-alive time-out.
+    /// \brief Removes the connection from the pool that became idle last and may carry the exchange; null when there is
+    /// none.
     [[nodiscard]] ConnectionPointer takeIdleConnection(
-        const std::string& address, core::Duration maxIdleTime, core::TimePoint now);
+        const std::string& address, const ExchangeOptions& options, core::TimePoint now);
+    /// \brief Whether a response to an earlier request on the idle connection can be told from the one to the exchange.
+    [[nodiscard]] static bool attributesResponses(const Connection& connection, const ExchangeOptions& options);
     void connect(const ConnectionPointer& connection);
     void write(const ConnectionPointer& connection);
     void read(const ConnectionPointer& connection);
--- a/source/transport/Server.h
+++ b/source/transport/Server.h
@@ -71,6 +71,8 @@
     /// one is held or stalled ones can be refused instead (408). If the output exceeds its limit, the connection with
     /// the most output is closed.
     void setMemoryLimits(const ServerMemoryLimits& limits);
+    /// \brief From now on repeats this field of a request in its response, so that clients can attribute responses.
+    void setEchoField(std::string name) { this->echoField = std::move(name); }
     /// \brief Sends `Connection: close` with every further response and closes the connection after it.
     void startDraining();
     /// \brief Takes over the connections that clients have already established and closes the listening socket; open
@@ -127,6 +129,8 @@
     void accountOutput(Connection& connection, std::size_t added, std::size_t removed);
     void flush(const ConnectionPointer& connection);
     void finishResponse(const ConnectionPointer& connection);
+    /// \brief The fields of a response that depend on the connection, after those of its framing.
+    void appendConnectionFields(const Connection& connection, std::string& text) const;
     void close(const ConnectionPointer& connection, bool notify);
     void scheduleTimeoutCheck();
     [[nodiscard]] bool hasTimedOut(const Connection& connection, core::TimePoint now) const;
@@ -146,6 +150,8 @@
     std::unordered_map<ConnectionId, ConnectionPointer> connectionsById;
     ConnectionId lastId = 0;
     std::size_t busyConnectionCount = 0;
+    /// \brief Name of the field that responses repeat; empty for none.
+    std::string echoField;
     bool draining = false;
 };
 
--- a/source/transport/ServerInput.cpp
+++ b/source/transport/ServerInput.cpp
@@ -103,6 +103,8 @@
         this->requestMemory.complete(connection->id);
         auto request = parser.takeRequest();
         connection->keepAlive = request.keepAlive;
+        connection->echo
+            = this->echoField.empty() ? std::string_view() : request.fields.find(this->echoField).value_or("");
         request.clientAddress = connection->clientAddress;
         this->events.request(connection->id, std::move(request));
         return;
--- a/source/transport/ServerOutput.cpp
+++ b/source/transport/ServerOutput.cpp
@@ -30,8 +30,7 @@
     text.reserve(head.size() + body.size() + framingBytes);
     text = head;
     appendField(text, "Content-Length", std::to_string(body.size()));
-    if (!connection->keepAlive)
-        appendField(text, "Connection", "close");
+    this->appendConnectionFields(*connection, text);
     text.append("\r\n").append(body);
     this->send(connection, std::move(text));
     this->finishResponse(connection);
@@ -45,11 +44,18 @@
     connection->keepAlive = connection->keepAlive && !this->draining;
     std::string text = head;
     appendField(text, "Transfer-Encoding", "chunked");
-    if (!connection->keepAlive)
-        appendField(text, "Connection", "close");
+    this->appendConnectionFields(*connection, text);
     this->send(connection, text + "\r\n");
 }
 
+void Server::appendConnectionFields(const Connection& connection, std::string& text) const
+{
+    if (!connection.echo.empty())
+        appendField(text, this->echoField, connection.echo);
+    if (!connection.keepAlive)
+        appendField(text, "Connection", "close");
+}
+
 void Server::write(ConnectionId id, std::string_view bytes)
 {
     if (const auto connection = this->find(id); connection && connection->busy && !bytes.empty())
--- a/source/transport/impl/ServerConnection.h
+++ b/source/transport/impl/ServerConnection.h
@@ -32,6 +32,8 @@
     /// \brief Start of the time-out that applies: connection accepted, first byte of a request received or response
     /// ended.
     core::TimePoint phaseStart {};
+    /// \brief Value of the echo field of the request in progress.
+    std::string echo;
     bool busy = false;
     bool keepAlive = true;
     bool reading = false;
--- a/tests/GatewayStopTests.cpp
+++ b/tests/GatewayStopTests.cpp
@@ -99,22 +99,21 @@
 INSTANTIATE_TEST_SUITE_P(Cases, FurtherAttemptWhileStopping,
     testing::Values(
         FurtherAttemptCase { "AfterARefusal", routeOf(CallKind::NonIdempotent), later(refusalBytes), {}, 503 },
-        FurtherAttemptCase { "AfterAMisdirection", routeOf(CallKind::NonIdempotent),
-            later(wholeAnswer("a", 421, "")), {}, 503 },
+        FurtherAttemptCase {
+            "AfterAMisdirection", routeOf(CallKind::NonIdempotent), later(wholeAnswer("a", 421, "")), {}, 503 },
         FurtherAttemptCase { "AfterARefusedStream", routeOf(CallKind::Streaming), later(refusalBytes), {}, 503 },
         FurtherAttemptCase { "AfterARunThatFailed", routeOf(CallKind::Idempotent), later(garbage), {}, 502 },
-        FurtherAttemptCase {
-            "AfterABrokenStream", routeOf(CallKind::Streaming, true), brokenStream(), {}, 200, false },
+        FurtherAttemptCase { "AfterABrokenStream", routeOf(CallKind::Streaming, true), brokenStream(), {}, 200, false },
         FurtherAttemptCase {
             "AfterARefusalInTime", routeOf(CallKind::NonIdempotent), later(refusalBytes), inTime, 200, true, 1 },
         FurtherAttemptCase {
             "AfterARunThatFailedInTime", routeOf(CallKind::Idempotent), later(garbage), inTime, 200, true, 1 },
-        FurtherAttemptCase { "AfterABrokenStreamInTime", routeOf(CallKind::Streaming, true), brokenStream(), inTime,
-            200, true, 1 }),
+        FurtherAttemptCase {
+            "AfterABrokenStreamInTime", routeOf(CallKind::Streaming, true), brokenStream(), inTime, 200, true, 1 }),
     [](const auto& info) { return info.param.name; });
 
-// Guards against a call that waits while the node stops, and that is refused only when what it waits for is there (LOST,
-// if it is then sent to an endpoint).
+// Guards against a call that waits while the node stops, and that is refused only when what it waits for is there
+// (LOST, if it is then sent to an endpoint).
 TEST(CallThatWaitsAtSigterm, IsRefusedAtOnceIfItCannotEnd)
 {
     GatewayWorld world;
@@ -122,7 +121,8 @@
     world.store.fault = StoreFault::Silent;
     auto route = routeOf(CallKind::Streaming);
     world.serve(route, { &endpoint });
-    const std::string program = "X-Program-Id: p\r\nX-Session-Id: s\r\nX-Token-Budget: 1088\r\nX-Token-Usage: 10,136\r\n";
+    const std::string program
+        = "X-Program-Id: p\r\nX-Session-Id: s\r\nX-Token-Budget: 1088\r\nX-Token-Usage: 10,136\r\n";
     const auto late = world.call("late", program);
     const auto inTimeCall = world.call("intime", program + inTime);
     ASSERT_TRUE(runUntil(world.context, [&world] { return world.gateway.callsInProgress() == 2; }));
@@ -146,8 +146,8 @@
     EXPECT_FALSE(seen->fields.find("Retry-After"));
 }
 
-// Guards against a grace that is counted from the moment at which a busy event loop handles SIGTERM: the node would take
-// calls that SIGKILL cuts off (LOST).
+// Guards against a grace that is counted from the moment at which a busy event loop handles SIGTERM: the node would
+// take calls that SIGKILL cuts off (LOST).
 TEST(SignalTime, IsThatOfTheDeliveryNotOfTheHandler)
 {
     asio::io_context context;
--- a/tests/OutageTokenTests.cpp
+++ b/tests/OutageTokenTests.cpp
@@ -250,8 +250,7 @@
     EXPECT_EQ(world.runTurns(program, 6, turnTokens), 6);
     // The home does not read who the new holder is.
     nodes[home]->nodeStore.failure = gateway::StoreFailure::NotDone;
-    nodes[holder]->peers->startDraining(
-        gateway::StopSchedule(core::monotonicNow(), std::chrono::seconds(8)));
+    nodes[holder]->peers->startDraining(gateway::StopSchedule(core::monotonicNow(), std::chrono::seconds(8)));
     nodes[holder]->restart();
     world.wait(1s);
     EXPECT_FALSE(nodes[holder]->buckets->mayGrant(program, retention, core::BootClock::now()));
--- a/tests/PeersTests.cpp
+++ b/tests/PeersTests.cpp
@@ -146,8 +146,8 @@
 
 } // namespace
 
-// Guards against a relayed write that a peer takes although its process may end first (LOST): nobody knows then whether it
-// was done. The refusal must not count as an outage of the store either.
+// Guards against a relayed write that a peer takes although its process may end first (LOST): nobody knows then whether
+// it was done. The refusal must not count as an outage of the store either.
 TEST_P(RelayThroughAStoppingPeer, IsTakenOnlyIfItCanEnd)
 {
     PeerCluster cluster;
--- a/tests/StopScheduleTests.cpp
+++ b/tests/StopScheduleTests.cpp
@@ -66,12 +66,12 @@
         ScheduleCase { "IdleAfterMostCallersHaveLeft", seconds(8), milliseconds(3'050), seconds(1), true, true, true },
         ScheduleCase { "BusyNode", seconds(8), seconds(6), milliseconds(1'500), true, false, false },
         ScheduleCase { "BusyNodeNearTheEnd", seconds(8), milliseconds(6'150), milliseconds(1'500), false, false, true },
-        ScheduleCase { "LongestCallsJustAdmitted", seconds(8), milliseconds(1'600), seconds(6), true, false, false,
-            seconds(6) },
-        ScheduleCase { "LongestCallsRefused", seconds(8), milliseconds(1'601), seconds(6), false, false, true,
-            seconds(6) },
-        ScheduleCase { "LongestCallsNeverAdmitted", seconds(8), milliseconds(1'000), seconds(1), true, false, false,
-            seconds(20) },
+        ScheduleCase {
+            "LongestCallsJustAdmitted", seconds(8), milliseconds(1'600), seconds(6), true, false, false, seconds(6) },
+        ScheduleCase {
+            "LongestCallsRefused", seconds(8), milliseconds(1'601), seconds(6), false, false, true, seconds(6) },
+        ScheduleCase {
+            "LongestCallsNeverAdmitted", seconds(8), milliseconds(1'000), seconds(1), true, false, false, seconds(20) },
         ScheduleCase { "LongestCallsNeverAdmittedLater", seconds(8), milliseconds(1'001), seconds(1), true, false, true,
             seconds(20) },
         ScheduleCase { "TimeoutBeyondTheGrace", seconds(8), seconds(0), seconds(10), false, false, false },
@@ -79,8 +79,8 @@
         ScheduleCase { "NoGrace", seconds(0), seconds(0), milliseconds(1), false, false, true }),
     [](const auto& info) { return info.param.name; });
 
-// Guards against a stopping node that passes on a request which it will cut off (LOST), also because calls before it were
-// short, and against refusing it late.
+// Guards against a stopping node that passes on a request which it will cut off (LOST), also because calls before it
+// were short, and against refusing it late.
 TEST_P(CallAtStoppingNode, IsServedWholeOrRefusedAtOnce)
 {
     const auto& each = GetParam();
