Let callers leave a stopping gateway before it refuses their calls

Cause: a stopping gateway was named in entry responses of its zone until the next heartbeat, and callers used these for 2 s, some for 6 s. With calls refused by their deadline, callers met refusals and closed sockets there; programs that met several in a row failed.

Change: the node tells the nodes of its zone that it stops, and entry responses are valid for 1 s.

NodeRegistry.OmitsANodeThatAnnouncedItsStop is new.

--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -41,8 +41,9 @@
 /// \brief Base64 encodes 3 bytes as 4 characters. The record around the texts needs part of the remaining bytes.
 constexpr std::size_t base64DecodedBytes = 3;
 constexpr std::size_t base64EncodedBytes = 4;
-/// \brief Maximum time for which callers cache an entry answer; short, so that a stopped node is left out soon.
-constexpr core::Duration maxEntryValidity = std::chrono::milliseconds(2'000);
+/// \brief Maximum time for which callers cache an entry answer; short, so that they leave a stopping node before it
+/// has to refuse their calls.
+constexpr core::Duration maxEntryValidity = std::chrono::milliseconds(1'000);
 constexpr std::size_t maxEntryAddresses = 64;
 /// \brief Maximum size of the settings file; the rest is ignored.
 constexpr std::size_t maxSettingsBytes = 1U << 20U;
@@ -415,49 +416,6 @@
     core::logInfo("settings_reloaded");
 }
 
-void Node::stop(int signal)
-{
-    if (this->stopSchedule)
-        return;
-    const auto now = core::monotonicNow();
-    // The grace runs from the signal, which a busy event loop handles late.
-    this->stopStartedAt = core::signalTime(signal).value_or(now);
-    this->stopSchedule.emplace(this->stopStartedAt, this->settings->stopGrace);
-    core::logInfo("node_stopping")
-        .with("in_progress", this->gateway.callsInProgress())
-        .with("noticed_after_ms", (now - this->stopStartedAt).count() / 1'000);
-    this->updateReady();
-    this->callerServer.startDraining();
-    this->gateway.startDraining(*this->stopSchedule);
-    this->peerService.startDraining(*this->stopSchedule);
-}
-
-void Node::continueStop(const StopSchedule& schedule, core::TimePoint now)
-{
-    const bool idle = this->gateway.callsInProgress() == 0;
-    this->tokenBudgets.returnUnusedShares();
-    if (!this->leaving) {
-        if (!schedule.mayStopAccepting(idle, this->gateway.longestTimeout(), now))
-            return;
-        core::logInfo("node_leaving")
-            .with("in_progress", this->gateway.callsInProgress())
-            .with("after_ms", (now - this->stopStartedAt).count() / 1'000);
-        this->leaving = true;
-        // If the call is lost, the other nodes remove the row.
-        this->nodeRegistry.deregister();
-        this->callerServer.stopAccepting();
-        this->peerServer.startDraining();
-        return;
-    }
-    if (now > schedule.endsAt())
-        this->gateway.endAll(now);
-    // Connections with a request or unsent output stay open, so they are complete once none is left.
-    this->callerServer.closeIdle();
-    const bool owesResponse = this->callerServer.openConnections() > 0 || this->peerServer.busyConnections() > 0;
-    if ((idle && !owesResponse) || now > schedule.endsAt() + tickInterval * 2)
-        this->context.stop();
-}
-
 void Node::tick()
 {
     this->tickTimer.expires_after(tickInterval);
--- a/source/gateway/NodeRegistry.cpp
+++ b/source/gateway/NodeRegistry.cpp
@@ -126,6 +126,17 @@
     this->writeRow();
 }
 
+void NodeRegistry::noteStopping(const std::string& name, const std::string& incarnation)
+{
+    const auto found = this->knownNodes.find(name);
+    if (found == this->knownNodes.end() || incarnation.empty() || name == this->self.name)
+        return;
+    auto& node = found->second;
+    node.stoppingIncarnation = incarnation;
+    if (node.entry.incarnation == incarnation)
+        node.entry.ready = false;
+}
+
 void NodeRegistry::deregister()
 {
     this->deregistered = true;
@@ -303,6 +314,8 @@
     node.writtenAtMs = record.written_at_ms();
     node.entry = { record.name(), record.zone(), record.region(), record.address(), record.peer_address(),
         record.ready(), record.incarnation(), tableParts(record) };
+    if (!node.stoppingIncarnation.empty() && node.stoppingIncarnation == node.entry.incarnation)
+        node.entry.ready = false;
     if (!this->rateLimitReported || row.key.key == this->self.name)
         return;
     for (const auto& each : record.rate_limits()) {
--- a/source/gateway/NodeRegistry.h
+++ b/source/gateway/NodeRegistry.h
@@ -54,6 +54,10 @@
     void start();
     /// \brief Sets the state that other nodes see and writes the row immediately.
     void setReady(bool ready);
+    /// \brief Counts this start of another node as not ready from now on, whatever its row says.
+    void noteStopping(const std::string& name, const std::string& incarnation);
+    /// \brief Name and incarnation of this node.
+    [[nodiscard]] const NodeEntry& ownEntry() const noexcept { return this->self; }
     /// \brief Sets the number of table parts that the row of this node states from the next heartbeat on.
     void setTableParts(std::uint64_t count) { this->self.tableParts = count; }
     /// \brief Numbers of table parts that other nodes state, also dead ones whose rows are left; empty until all zones
@@ -109,6 +113,8 @@
         /// \brief Time of the heartbeat by the store's clock; 0 if the node does not state it.
         std::uint64_t writtenAtMs = 0;
         bool alive = true;
+        /// \brief The incarnation that announced its stop; empty for none.
+        std::string stoppingIncarnation {};
     };
 
     void sendHeartbeat();
--- a/source/gateway/PeerService.cpp
+++ b/source/gateway/PeerService.cpp
@@ -247,13 +247,29 @@
     this->client.send(home, message, [](const wire::PeerResponse*) {});
 }
 
-void PeerService::announceLongPrompt(const LongPromptNotice& notice, core::TimePoint now)
+std::vector<std::string> PeerService::answeringPeers(core::TimePoint now) const
 {
     std::vector<std::string> peers;
     for (const auto& peer : this->nodeRegistry.zonePeers()) {
         if (!peer.self && !this->client.isSuspected(peer.address, now))
             peers.push_back(peer.address);
     }
+    return peers;
+}
+
+void PeerService::announceStop(core::TimePoint now)
+{
+    wire::PeerRequest message;
+    const auto& self = this->nodeRegistry.ownEntry();
+    message.mutable_node_stopping()->set_name(self.name);
+    message.mutable_node_stopping()->set_incarnation(self.incarnation);
+    for (const auto& peer : this->answeringPeers(now))
+        this->client.send(peer, message, [](const wire::PeerResponse*) {});
+}
+
+void PeerService::announceLongPrompt(const LongPromptNotice& notice, core::TimePoint now)
+{
+    const auto peers = this->answeringPeers(now);
     const auto count = this->noticeAllowance.take(peers.size(), now);
     if (count == 0)
         return;
@@ -401,6 +417,9 @@
             this->longPromptHandler({ prompt.endpoint(), prompt.started_at_ms(), prompt.uncached_tokens() });
         }
         break;
+    case wire::PeerRequest::kNodeStopping:
+        this->nodeRegistry.noteStopping(message.node_stopping().name(), message.node_stopping().incarnation());
+        break;
     case wire::PeerRequest::REQUEST_NOT_SET:
         break;
     }
--- a/source/gateway/PeerService.h
+++ b/source/gateway/PeerService.h
@@ -128,6 +128,9 @@
     /// \brief Tells the other nodes of the zone about a long prompt. Beyond `NoticeAllowance`, some of them
     /// do not learn of it.
     void announceLongPrompt(const LongPromptNotice& notice, core::TimePoint now);
+    /// \brief Tells the other nodes of the zone that this node stops, so that they no longer name it to callers. Its
+    /// row says so as well, but is read once per heartbeat only.
+    void announceStop(core::TimePoint now);
     void setLongPromptHandler(std::function<void(const LongPromptNotice&)> handler)
     {
         this->longPromptHandler = std::move(handler);
@@ -183,6 +186,8 @@
     [[nodiscard]] std::vector<std::string> streamHolders(
         const std::string& stream, std::size_t count, core::TimePoint now) const;
     void respond(transport::ConnectionId connection, const wire::PeerResponse& response);
+    /// \brief Peer addresses of the zone's other nodes that answer.
+    [[nodiscard]] std::vector<std::string> answeringPeers(core::TimePoint now) const;
     void reserveAt(const std::string& home, const std::shared_ptr<ReservationAttempt>& attempt);
     void sendReservation(const std::shared_ptr<ReservationAttempt>& attempt);
     void reserveLocally(const BudgetRequest& request, core::TimePoint now, std::function<void(Reservation)> done);
--- a/tests/RosterTests.cpp
+++ b/tests/RosterTests.cpp
@@ -196,6 +196,27 @@
     EXPECT_TRUE(fixture.waitUntil([&first] { return first.isAlive("b", "b2") && !first.isAlive("b", "b1"); }));
 }
 
+// Guards against callers that are sent to a stopping node until its row is read, and against a restarted node that gets
+// none.
+TEST(NodeRegistry, OmitsANodeThatAnnouncedItsStop)
+{
+    NodeRegistryFixture fixture;
+    auto& first = fixture.add("a", "z1", "r1", "a1");
+    auto& second = fixture.add("b", "z1", "r1", "b1");
+    const auto names = [&first] { return first.addressesFor("z1", "r1", 64).size(); };
+    ASSERT_TRUE(fixture.waitUntil([&] { return names() == 2; }));
+    first.noteStopping("b", "b0");
+    EXPECT_EQ(names(), 2U) << "an earlier start of the node announced it";
+    first.noteStopping("b", "b1");
+    EXPECT_EQ(names(), 1U);
+    // A row from before the announcement that is read after it.
+    second.setReady(false);
+    second.setReady(true);
+    EXPECT_FALSE(fixture.waitUntil([&] { return names() == 2; }, std::chrono::milliseconds(2'500)));
+    fixture.add("b", "z1", "r1", "b2");
+    EXPECT_TRUE(fixture.waitUntil([&] { return names() == 2; }));
+}
+
 // Guards against nodes that get no callers because the zone has more nodes than a response may list.
 TEST(NodeRegistry, ReturnsVaryingNodesOfALargeZone)
 {
