--- a/source/settings/GatewaySettings.cpp
+++ b/source/settings/GatewaySettings.cpp
@@ -71,7 +71,7 @@
     numberField("memory_mb", "120", 1'048'576, "Memory limit of the process in MB."),
     numberField("stop_grace_s", "8", 3'600, "Seconds from SIGTERM to SIGKILL."),
     numberField("entry_validity_s", "2", 3'600,
-        "Maximum time in seconds for which callers may cache a response of entry_address."),
+        "Maximum time in seconds for which callers may cache a response of entry_address; more than 1 counts as 1."),
     numberField("long_prompt_tokens", "0", 1'000'000,
         "Uncached tokens from which nodes tell each other of a prompt, to place calls by what the engines have to "
         "read; "
