Send attempts through peers while this node reaches no endpoint

Cause: a node knew one way to an endpoint, its own connection, and took the loss of that way for the failure of each endpoint: it learned by one call and one endpoint at a time, ejected sound endpoints, reported them as lost and its own delay as congestion.

Change: EndpointPaths decides from new connections to three endpoints at once whether the node reaches any; a check starts when a connection fails, or when nothing is heard from any endpoint for 0.3 s while one owes a response, so that one silent endpoint is no reason. While the paths are lost EndpointExchanges sends attempts through a peer (RelayedExchanges, ExchangeRelayServer). Only the last step is relayed: budget, history, key, quota, choice of the endpoint and order stay at the caller's node. A peer proves its own paths before it takes a request, since nodes lose them at the same moment, and refuses endpoints that it knows as leaving. A request is sent through another peer only if none of its bytes was sent. Failures on lost paths count neither against endpoints nor as congestion. Log lines endpoint_paths_lost and endpoint_paths_open, `relayed` in call_sent, metrics gateway_endpoint_paths_lost, gateway_relayed_attempts_total and gateway_relays_served_total.

--- a/source/gateway/EndpointDirectory.cpp
+++ b/source/gateway/EndpointDirectory.cpp
@@ -107,6 +107,24 @@
     return result;
 }
 
+std::size_t EndpointDirectory::servingCount() const noexcept
+{
+    std::size_t count = 0;
+    for (const auto& [service, ids] : this->services)
+        count += ids.size();
+    return count;
+}
+
+std::vector<const TrackedEndpoint*> EndpointDirectory::allServing() const
+{
+    std::vector<const TrackedEndpoint*> result;
+    for (const auto& [service, ids] : this->services) {
+        for (const auto& id : ids)
+            result.push_back(this->find(id));
+    }
+    return result;
+}
+
 std::set<std::string> EndpointDirectory::versions(const std::string& service) const
 {
     std::set<std::string> result;
@@ -146,7 +164,13 @@
 
 void EndpointDirectory::callFailed(const std::string& id, policy::FailureKind kind, core::TimePoint now)
 {
-    if (const auto* const endpoint = this->callEnded(id))
+    this->callEnded(id);
+    this->recordFailure(id, kind, now);
+}
+
+void EndpointDirectory::recordFailure(const std::string& id, policy::FailureKind kind, core::TimePoint now)
+{
+    if (const auto* const endpoint = this->find(id))
         this->applyHealthChanges(this->health.failed(endpoint->healthId, kind, now));
 }
 
--- a/source/gateway/EndpointDirectory.h
+++ b/source/gateway/EndpointDirectory.h
@@ -48,6 +48,11 @@
     /// \brief Sorted ids of all endpoints of the service, draining ones included; visits all endpoints.
     [[nodiscard]] std::vector<std::string> allEndpoints(const std::string& service) const;
 
+    /// \brief Number of endpoints that are not draining, of all services.
+    [[nodiscard]] std::size_t servingCount() const noexcept;
+    /// \brief Those endpoints.
+    [[nodiscard]] std::vector<const TrackedEndpoint*> allServing() const;
+
     /// \brief Software versions of all known endpoints of the service.
     [[nodiscard]] std::set<std::string> versions(const std::string& service) const;
 
@@ -60,6 +65,8 @@
     /// calls.
     void callSucceeded(const std::string& id, double relativeLatency, core::TimePoint now);
     void callFailed(const std::string& id, policy::FailureKind kind, core::TimePoint now);
+    /// \brief Records a failure of the endpoint after its call has been recorded as ended.
+    void recordFailure(const std::string& id, policy::FailureKind kind, core::TimePoint now);
     /// \brief Records a call that the endpoint refused without executing it.
     void callRefused(const std::string& id, core::TimePoint now);
     /// \brief Takes the process that started at `startedAt` (Unix milliseconds) out of service, whatever its entry
--- a/source/gateway/EndpointLossTracker.cpp
+++ b/source/gateway/EndpointLossTracker.cpp
@@ -74,6 +74,10 @@
 void EndpointLossTracker::confirm(const std::string& endpoint)
 {
     const auto now = core::monotonicNow();
+    if (this->pathsWereLost && this->pathsWereLost(now)) {
+        core::logInfo("endpoint_loss_unproven").with("endpoint", endpoint);
+        return;
+    }
     const auto notice = this->ledger.endpointLost(endpoint, this->suspected.at(endpoint).digests, now);
     core::logWarning("endpoint_lost").with("endpoint", endpoint).with("calls", notice.digests.size());
     wire::LossRecord record;
--- a/source/gateway/EndpointLossTracker.h
+++ b/source/gateway/EndpointLossTracker.h
@@ -38,6 +38,9 @@
     /// \brief Whether requests with this digest are rejected after one more loss.
     [[nodiscard]] bool isIsolatedByNextLoss(const std::string& digest, core::TimePoint now) const;
     void tick(core::TimePoint now);
+    /// \brief Sets the function that states whether this node has recently not reached any endpoint, so that a refused
+    /// connection does not confirm a loss.
+    void setPathCheck(std::function<bool(core::TimePoint)> check) { this->pathsWereLost = std::move(check); }
 
     static constexpr std::string_view table = "losses";
 
@@ -55,6 +58,7 @@
     RowStore& store;
     StoreHealth& storeHealth;
     RowExpiry& rowExpiry;
+    std::function<bool(core::TimePoint)> pathsWereLost;
     policy::PoisonDetector ledger;
     std::map<std::string, Suspected> suspected;
 };
--- a/source/gateway/Flow.h
+++ b/source/gateway/Flow.h
@@ -5,6 +5,7 @@
 #include "gateway/EventStreamParser.h"
 #include "gateway/PeerService.h"
 #include "gateway/PrefillBacklog.h"
+#include "gateway/RelayedExchanges.h"
 #include "gateway/Types.h"
 #include "state/Backoff.h"
 #include "transport/ClientPool.h"
@@ -51,6 +52,8 @@
     /// \brief Whether the run resumes a stream, and the number of events with data that it brought.
     bool resumesStream = false;
     std::uint64_t eventCount = 0;
+    /// \brief What the peer that carried the attempt knows of the end of an unframed response.
+    std::optional<ClosedExchange> closedAtPeer;
     /// \brief Time at which the connection of an unframed response was closed in order, while its end is judged.
     std::optional<core::TimePoint> closedAt;
 };
--- a/source/gateway/Gateway.h
+++ b/source/gateway/Gateway.h
@@ -5,6 +5,7 @@
 #include "gateway/ClientAccounts.h"
 #include "gateway/ConfigurationProof.h"
 #include "gateway/EndpointDirectory.h"
+#include "gateway/EndpointExchanges.h"
 #include "gateway/EndpointLossTracker.h"
 #include "gateway/EndpointRateLimits.h"
 #include "gateway/FairShare.h"
@@ -28,7 +29,7 @@
 struct GatewayDependencies {
     asio::io_context& context;
     transport::Server& callers;
-    transport::ClientPool& endpoints;
+    EndpointExchanges& endpoints;
     EndpointDirectory& endpointDirectory;
     TurnStore& turnStore;
     PeerService& peerService;
@@ -73,6 +74,10 @@
     /// retried; call every `tickInterval`.
     void tick(core::TimePoint now);
 
+    /// \brief Handles the loss of the paths to endpoints: attempts without progress are retried where they may be, and
+    /// streams whose attempt may not be repeated are ended, so that their callers begin anew.
+    void handlePathsLost(core::TimePoint now);
+
     /// \brief Rate limits that endpoints state, to exchange them with other nodes.
     [[nodiscard]] EndpointRateLimits& rateLimits() noexcept { return this->endpointRateLimits; }
 
@@ -191,6 +196,8 @@
     [[nodiscard]] std::optional<PromptWork> promptWork(const Flow& flow) const;
     [[nodiscard]] static LocalResponse timeOverResponse();
     [[nodiscard]] static LocalResponse noEndpointResponse(const Flow& flow);
+    /// \brief Response while no node that this one knows reaches the endpoints.
+    [[nodiscard]] static LocalResponse noPathResponse(const Flow& flow);
     /// \brief Whether the call may wait for the endpoint that accepts it first.
     [[nodiscard]] static bool mayWaitForRateLimit(
         const Flow& flow, const RateLimitedEndpoints& limited, core::TimePoint now);
@@ -223,6 +230,8 @@
     [[nodiscard]] core::Duration maxIdleTime(const Flow& flow, core::TimePoint now) const;
     void attemptRefused(Flow& flow, core::TimePoint now);
     void attemptFailed(Flow& flow, policy::FailureKind kind, std::string_view cause, core::TimePoint now);
+    /// \brief Records the failure of the attempt's endpoint, unless the path to it or a peer may be the cause.
+    void recordFailure(const Flow& flow, policy::FailureKind kind, core::TimePoint now);
     void reportSuspectedLoss(const Flow& flow, core::TimePoint now);
     void cancelAttempt(Flow& flow);
     /// \brief Tells the limiter of the service, once per attempt, whether the first event came within the objective of
--- a/source/gateway/GatewayAttempts.cpp
+++ b/source/gateway/GatewayAttempts.cpp
@@ -65,6 +65,8 @@
         return "malformed_answer";
     case ExchangeEnd::TimedOut:
         return "timed_out";
+    case ExchangeEnd::NoPath:
+        return "no_path";
     }
     return "unknown";
 }
@@ -134,6 +136,7 @@
         .with("cost_ms", static_cast<int>(decision.costMs))
         .with("candidates", decision.candidates)
         .with("configuration", this->configuration->version)
+        .with("relayed", this->dependencies.endpoints.paths().areLost() ? "yes" : "no")
         .with("remaining_ms", request.remaining.count() / 1'000);
     flow.attempt.emplace(endpoint->entry, now);
     flow.attempt->resumesStream = flow.events.last().has_value();
@@ -142,8 +145,9 @@
     this->recordPrompt(flow, decision, now);
     flow.attempt->outstandingBytes
         = this->dependencies.endpointDirectory.holdBytes(decision.endpoint, request.body.size());
-    flow.attempt->exchange = this->dependencies.endpoints.send(
-        decision.address, platform::encodeRequest(flow.call, request), std::move(options), std::move(events));
+    EndpointExchange exchange { decision.endpoint, endpoint->entry.startedAt, decision.address, flow.deadline,
+        platform::encodeRequest(flow.call, request), std::move(options) };
+    flow.attempt->exchange = this->dependencies.endpoints.send(std::move(exchange), std::move(events));
     flow.attempt->connection = this->dependencies.endpoints.connectionOf(flow.attempt->exchange);
 }
 
@@ -210,15 +214,23 @@
     }
     if (attempt.response && end == ExchangeEnd::Closed) {
         flow->attempt->closedAt = now;
-        this->judgeClosedResponse(*flow, std::nullopt, now);
+        flow->attempt->closedAtPeer = this->dependencies.endpoints.closedExchange(attempt.exchange);
+        const auto& atPeer = flow->attempt->closedAtPeer;
+        this->judgeClosedResponse(*flow, atPeer ? std::optional(atPeer->probe) : std::nullopt, now);
         return;
     }
     if (end == ExchangeEnd::Withheld) {
         this->attemptWithheld(*flow, now);
         return;
     }
+    if (end == ExchangeEnd::NoPath) {
+        this->dependencies.endpointDirectory.callAbandoned(attempt.endpoint);
+        flow->attempt.reset();
+        this->respond(id, noPathResponse(*flow));
+        return;
+    }
     if (end == ExchangeEnd::NotSent) {
-        this->dependencies.endpointDirectory.callFailed(attempt.endpoint, policy::FailureKind::ConnectionRefused, now);
+        this->recordFailure(*flow, policy::FailureKind::ConnectionRefused, now);
         core::logWarning("attempt_failed")
             .with("id", flow->call.id)
             .with("endpoint", attempt.endpoint)
@@ -280,10 +292,7 @@
         .with("exchange", flow.attempt->connection.exchange)
         .with("after_ms", (now - flow.attempt->sentAt).count() / 1'000);
     this->dependencies.metrics.add("gateway_attempts_failed_total", { { "cause", std::string(cause) } });
-    // A single broken connection may be caused by the response. It counts as a server error until the loss of the
-    // process is confirmed.
-    this->dependencies.endpointDirectory.callFailed(
-        flow.attempt->endpoint, kind == policy::FailureKind::Crashed ? policy::FailureKind::ServerError : kind, now);
+    this->recordFailure(flow, kind, now);
     flow.hasBegunEvent = flow.hasBegunEvent || flow.attempt->eventParser.hasPartialEvent();
     flow.attempt.reset();
     this->responseMemory.release(flow.id);
@@ -298,8 +307,63 @@
     this->respond(flow.id, { 502, core::ResultCode::EndpointFailed, cause, {} });
 }
 
+void Gateway::recordFailure(const Flow& flow, policy::FailureKind kind, core::TimePoint now)
+{
+    const auto& endpoint = flow.attempt->endpoint;
+    auto& directory = this->dependencies.endpointDirectory;
+    const bool relayed = this->dependencies.endpoints.isRelayed(flow.attempt->exchange);
+    const bool connectionFailed
+        = kind == policy::FailureKind::Crashed || kind == policy::FailureKind::ConnectionRefused;
+    // A single broken connection may be caused by the response. It counts as a server error until the loss of the
+    // process is confirmed.
+    const auto counted = kind == policy::FailureKind::Crashed ? policy::FailureKind::ServerError : kind;
+    if (relayed ? kind == policy::FailureKind::Crashed : this->dependencies.endpoints.paths().areLost()) {
+        directory.callAbandoned(endpoint);
+    } else if (!relayed && connectionFailed) {
+        directory.callAbandoned(endpoint);
+        this->dependencies.endpoints.connectionFailed(endpoint, counted, now);
+    } else {
+        directory.callFailed(endpoint, counted, now);
+    }
+}
+
+void Gateway::handlePathsLost(core::TimePoint now)
+{
+    // What was late on lost paths says nothing about the engines.
+    this->newProgramLimiters.clear();
+    std::vector<FlowId> ids;
+    for (const auto& [id, flow] : this->flows) {
+        if (!flow.attempt || flow.attempt->closedAt || flow.attempt->paused || flow.committing
+            || this->dependencies.endpoints.isRelayed(flow.attempt->exchange))
+            continue;
+        if (this->dependencies.endpoints.isUnsent(flow.attempt->exchange)
+            || flow.attempt->progress.timeWithoutProgress(now) >= EndpointPaths::probeTimeout)
+            ids.push_back(id);
+    }
+    for (const auto id : ids) {
+        auto* const flow = this->find(id);
+        if (flow == nullptr || !flow->attempt)
+            continue;
+        if (this->dependencies.endpoints.isUnsent(flow->attempt->exchange)) {
+            this->cancelAttempt(*flow);
+            this->dispatch(id, now);
+            continue;
+        }
+        const bool repeatable = flow->possibleRuns + 1 < flow->route->maxAttempts && mayBeginRun(*flow)
+            && (flow->route->kind == CallKind::Idempotent || flow->route->resumable);
+        // The response to another call may still arrive if the paths return before its deadline.
+        if (!repeatable && flow->route->kind != CallKind::Streaming)
+            continue;
+        this->dependencies.endpoints.cancel(flow->attempt->exchange);
+        this->attemptFailed(*flow, policy::FailureKind::Silent, "path_lost", now);
+    }
+}
+
 void Gateway::reportSuspectedLoss(const Flow& flow, core::TimePoint now)
 {
+    // A broken connection to a peer says nothing about the endpoint.
+    if (this->dependencies.endpoints.isRelayed(flow.attempt->exchange))
+        return;
     if (const auto* const known = this->dependencies.endpointDirectory.find(flow.attempt->endpoint)) {
         // The check of the endpoint is a request, too.
         this->endpointRateLimits.reserve(known->entry, now);
--- a/source/gateway/GatewayCompleteness.cpp
+++ b/source/gateway/GatewayCompleteness.cpp
@@ -61,9 +61,13 @@
     const auto* const endpoint = this->dependencies.endpointDirectory.find(attempt.endpoint);
     evidence.endpointReplaced = endpoint != nullptr && endpoint->entry.startedAt != attempt.endpointStartedAt;
     evidence.endpointLeaving = endpoint != nullptr && (endpoint->entry.draining || endpoint->leaving);
-    const auto& pool = this->dependencies.endpoints;
-    evidence.others = pool.otherConnections(attempt.address, *attempt.closedAt - sameMoment);
-    evidence.others.active = pool.otherConnections(attempt.address, *attempt.closedAt).active;
+    if (attempt.closedAtPeer) {
+        evidence.others = attempt.closedAtPeer->others;
+    } else {
+        const auto& exchanges = this->dependencies.endpoints;
+        evidence.others = exchanges.otherConnections(attempt.address, *attempt.closedAt - sameMoment);
+        evidence.others.active = exchanges.otherConnections(attempt.address, *attempt.closedAt).active;
+    }
     evidence.probe = probe;
     return evidence;
 }
--- a/source/gateway/GatewayPlacement.cpp
+++ b/source/gateway/GatewayPlacement.cpp
@@ -19,6 +19,8 @@
 /// \brief Retry delay for callers that resume a stream while no endpoint of its software version is available;
 /// endpoints that crashed are back after some seconds.
 constexpr core::Duration retryAfterVersionGone = std::chrono::milliseconds(1'000);
+/// \brief Retry delay for callers while no node reaches the endpoints; paths are checked several times a second.
+constexpr core::Duration retryAfterNoPath = std::chrono::milliseconds(500);
 /// \brief Expected service times of a plain call and of a stream, for the load estimate of endpoints.
 constexpr double expectedPlainCallMs = 100;
 constexpr double expectedStreamMs = 300;
@@ -114,6 +116,13 @@
     return { 503, core::ResultCode::NoEndpoint, "no_endpoint", retryAfterEndpointsFull };
 }
 
+Gateway::LocalResponse Gateway::noPathResponse(const Flow& flow)
+{
+    if (flow.possibleRuns > 0 || flow.responseStarted)
+        return { 502, core::ResultCode::EndpointFailed, "no_path", {} };
+    return { 503, core::ResultCode::NoEndpoint, "no_path", retryAfterNoPath };
+}
+
 bool Gateway::mayWaitForRateLimit(const Flow& flow, const RateLimitedEndpoints& limited, core::TimePoint now)
 {
     const auto latest = std::min(now + flow.route->targetLatency / maxWaitTargetLatencyDivisor, flow.deadline);
--- a/source/gateway/Node.cpp
+++ b/source/gateway/Node.cpp
@@ -32,6 +32,8 @@
 constexpr std::size_t copiesPerBody = 1;
 /// \brief Fraction of the process memory for output that callers have not read.
 constexpr std::size_t outputMemoryDivisor = 8;
+/// \brief Fraction of the process memory for requests that are relayed for peers.
+constexpr std::size_t relayMemoryDivisor = 10;
 /// \brief Fraction of the process memory for connections without a request.
 constexpr std::size_t connectionMemoryDivisor = 16;
 /// \brief Memory of a connection without a request: its state here and in asio, and its entries in tables.
@@ -45,6 +47,9 @@
 /// has to refuse their calls.
 constexpr core::Duration maxEntryValidity = std::chrono::milliseconds(1'000);
 constexpr std::size_t maxEntryAddresses = 64;
+/// \brief Time after a loss of the paths in which a refused connection proves no loss of an endpoint; covers the check
+/// of a suspected loss that began before.
+constexpr core::Duration lossProofInterval = std::chrono::seconds(1);
 /// \brief Maximum size of the settings file; the rest is ignored.
 constexpr std::size_t maxSettingsBytes = 1U << 20U;
 
@@ -161,7 +166,15 @@
           { [this](transport::ConnectionId connection, transport::Request&& request) {
                this->serveToPeer(connection, request);
            },
-              [](transport::ConnectionId) {} })
+              [this](transport::ConnectionId connection) { this->exchangeRelayServer.handleDisconnect(connection); },
+              [this](transport::ConnectionId connection) { this->exchangeRelayServer.handleDrained(connection); } })
+    , relayedExchanges(this->peerPool, this->nodeRegistry, this->endpointDirectory)
+    , endpointExchanges(
+          { this->context, this->endpointPool, this->relayedExchanges, this->endpointDirectory, this->metrics },
+          this->settings->zone, std::random_device()())
+    , exchangeRelayServer({ this->context, this->peerServer, this->endpointPool, this->endpointExchanges,
+                              this->endpointDirectory, this->metrics },
+          this->settings->memoryBytes / relayMemoryDivisor)
     , outageBuckets(
           this->directStore, this->storeHealth, this->nodeRegistry, this->settings->nodeName + ":" + this->incarnation)
     , peerService({ this->peerClient, this->peerServer, this->tokenBudgets, this->turnStore, this->nodeRegistry,
@@ -171,7 +184,7 @@
     , quotaService({ this->peerClient, this->peerService, this->nodeRegistry },
           this->settings->nodeName + ":" + this->incarnation, this->settings->zone,
           { this->settings->quota.window, this->settings->quota.overshoot, this->settings->quota.slackCalls })
-    , gateway({ this->context, this->callerServer, this->endpointPool, this->endpointDirectory, this->turnStore,
+    , gateway({ this->context, this->callerServer, this->endpointExchanges, this->endpointDirectory, this->turnStore,
                   this->peerService, this->lossTracker, this->storeHealth, this->serviceVersions,
                   this->streamVersionRows, this->metrics, this->configurationProof, this->quotaService },
           { this->settings->zone, this->settings->region, this->settings->zones, 1 }, std::random_device()(),
@@ -224,6 +237,12 @@
         [this](const wire::PeerRequest& message) { return this->quotaService.serve(message, core::monotonicNow()); });
     this->peerService.setLongPromptHandler(
         [this](const LongPromptNotice& notice) { this->gateway.handleLongPrompt(notice, core::monotonicNow()); });
+    this->endpointExchanges.setPathsLostHandler([this](core::TimePoint now) {
+        this->exchangeRelayServer.handlePathsLost();
+        this->gateway.handlePathsLost(now);
+    });
+    this->lossTracker.setPathCheck(
+        [this](core::TimePoint now) { return this->endpointExchanges.paths().wereLostWithin(lossProofInterval, now); });
     this->endpointWatch.start();
     this->lossWatch.start();
     this->nodeRegistry.start();
@@ -247,12 +266,24 @@
 void Node::serveToPeer(transport::ConnectionId connection, const transport::Request& request)
 {
     // Peers may still take this process for its predecessor, which was ready, and ask it for rows.
-    if (this->tableParts.known())
+    if (request.target == impl::relayTarget)
+        this->relayForPeer(connection, request);
+    else if (this->tableParts.known())
         this->peerService.serve(connection, request, core::monotonicNow());
     else
         this->peerServer.respond(connection, transport::statusLine(503), {});
 }
 
+void Node::relayForPeer(transport::ConnectionId connection, const transport::Request& request)
+{
+    wire::PeerRequest message;
+    if (!message.ParseFromString(request.body) || !message.has_exchange()) {
+        this->peerServer.respond(connection, transport::statusLine(400), {});
+        return;
+    }
+    this->exchangeRelayServer.serve(connection, message.exchange(), core::monotonicNow());
+}
+
 void Node::configurationChanged(const Row& row)
 {
     if (row.key.key != platform::configurationKey)
@@ -290,6 +321,9 @@
     memory.connectionOutputBytes = this->settings->callers.unreadBytes;
     memory.stallTime = this->settings->callers.uploadStall;
     this->callerServer.setMemoryLimits(memory);
+    transport::ServerMemoryLimits peerMemory;
+    peerMemory.connectionOutputBytes = memory.connectionOutputBytes;
+    this->peerServer.setMemoryLimits(peerMemory);
     this->gateway.configure(std::make_shared<const Configuration>(*configuration), core::monotonicNow());
     this->configured = true;
     this->updateReady();
@@ -424,6 +458,7 @@
             return;
         const auto now = core::monotonicNow();
         this->tableLayout.tick(now);
+        this->endpointExchanges.tick(now);
         this->gateway.tick(now);
         this->peerService.tick(now);
         this->quotaService.tick(now);
--- a/source/gateway/Node.h
+++ b/source/gateway/Node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/ExchangeRelayServer.h"
 #include "gateway/Gateway.h"
 #include "gateway/NodeRegistry.h"
 #include "gateway/RelayedStore.h"
@@ -30,6 +31,7 @@
 private:
     void tableLayoutKnown(std::uint64_t parts);
     void serveToPeer(transport::ConnectionId connection, const transport::Request& request);
+    void relayForPeer(transport::ConnectionId connection, const transport::Request& request);
     void configurationChanged(const Row& row);
     void configurationConfirmed(core::BootTimePoint sentAt);
     void endpointChanged(const Row& row);
@@ -82,6 +84,9 @@
     transport::Server entryServer;
     transport::Server metricsServer;
     transport::Server peerServer;
+    RelayedExchanges relayedExchanges;
+    EndpointExchanges endpointExchanges;
+    ExchangeRelayServer exchangeRelayServer;
     OutageBuckets outageBuckets;
     PeerService peerService;
     EndpointLossTracker lossTracker;
--- a/source/gateway/NodeRegistry.cpp
+++ b/source/gateway/NodeRegistry.cpp
@@ -384,6 +384,13 @@
     return inRegion;
 }
 
+bool NodeRegistry::hasPeers() const
+{
+    return std::any_of(this->knownNodes.begin(), this->knownNodes.end(), [this](const auto& node) {
+        return node.second.alive && node.second.entry.ready && node.first != this->self.name;
+    });
+}
+
 std::map<std::string, std::vector<std::string>> NodeRegistry::otherZones() const
 {
     std::map<std::string, std::vector<std::string>> result;
--- a/source/gateway/NodeRegistry.h
+++ b/source/gateway/NodeRegistry.h
@@ -81,6 +81,8 @@
     [[nodiscard]] std::vector<ZonePeer> zonePeers() const;
     /// \brief Peer addresses of live, ready nodes in other zones; nodes of this node's region first.
     [[nodiscard]] std::vector<std::string> otherZonePeers() const;
+    /// \brief Whether any other node is live and ready.
+    [[nodiscard]] bool hasPeers() const;
     /// \brief Peer addresses of live, ready nodes of other zones, by zone.
     [[nodiscard]] std::map<std::string, std::vector<std::string>> otherZones() const;
     /// \brief Nodes that may send calls to endpoints: live ones, also while they shut down, and for some time those of
--- a/source/gateway/RelaySelector.cpp
+++ b/source/gateway/RelaySelector.cpp
@@ -23,7 +23,7 @@
     const auto found = this->findings.find(peer);
     if (found == this->findings.end() || now - found->second.at > findingLifetime)
         return std::nullopt;
-    return found->second.reachedStore;
+    return found->second.reachedTarget;
 }
 
 std::vector<std::string> RelaySelector::choose(const std::vector<std::string>& zonePeers,
@@ -49,7 +49,7 @@
     auto& first = explore ? unknown : withContact;
     const auto& second = explore ? withContact : unknown;
     first.insert(first.end(), second.begin(), second.end());
-    first.resize(std::min(first.size(), maxPeersPerCall));
+    first.resize(std::min(first.size(), this->maxPeersPerCall));
     return std::move(first);
 }
 
--- a/source/transport/ClientPool.cpp
+++ b/source/transport/ClientPool.cpp
@@ -56,6 +56,7 @@
     ExchangeEvents events;
     ExchangeOptions options;
     std::string request;
+    core::TimePoint sentAt {};
     core::TimePoint connectDeadline {};
     core::TimePoint responseDeadline = core::TimePoint::max();
     core::TimePoint idleSince {};
@@ -107,6 +108,7 @@
         connection->identifiers.add(options.echoFieldValue);
     connection->events = std::move(events);
     connection->request = std::move(request);
+    connection->sentAt = now;
     connection->connectDeadline = now + options.connectTimeout;
     connection->responseDeadline
         = options.responseTimeout.count() > 0 ? now + options.responseTimeout : core::TimePoint::max();
@@ -166,6 +168,39 @@
         this->close(connection);
 }
 
+void ClientPool::closeAllIdle()
+{
+    for (const auto& [address, connections] : std::exchange(this->idle, {})) {
+        for (const auto& connection : connections)
+            this->close(connection);
+    }
+}
+
+bool ClientPool::canReuse(const std::string& address, const ExchangeOptions& options, core::TimePoint now) const
+{
+    const auto found = this->idle.find(address);
+    return found != this->idle.end() && options.maxIdleTime > core::Duration::zero()
+        && std::any_of(found->second.begin(), found->second.end(),
+            [&options, now](const auto& connection) { return isReusable(*connection, options, now); });
+}
+
+PoolActivity ClientPool::activity() const
+{
+    PoolActivity result;
+    result.heardAt = this->heardAt;
+    const auto keepEarliest = [](std::optional<core::TimePoint>& earliest, core::TimePoint time) {
+        earliest = std::min(earliest.value_or(time), time);
+    };
+    for (const auto& [id, connection] : this->exchanges) {
+        if (!connection->connected)
+            keepEarliest(result.connectingSince, connection->sentAt);
+        else if (!connection->paused)
+            keepEarliest(
+                result.waitingSince, std::max({ connection->sentAt, connection->connectedAt, connection->receivedAt }));
+    }
+    return result;
+}
+
 OtherConnections ClientPool::otherConnections(const std::string& address, core::TimePoint since) const
 {
     OtherConnections result;
@@ -188,6 +223,12 @@
     return result;
 }
 
+bool ClientPool::isConnecting(ExchangeId exchange) const
+{
+    const auto found = this->exchanges.find(exchange);
+    return found != this->exchanges.end() && !found->second->connected;
+}
+
 ConnectionUse ClientPool::connectionOf(ExchangeId exchange) const
 {
     const auto found = this->exchanges.find(exchange);
@@ -201,10 +242,8 @@
     if (found == this->idle.end() || options.maxIdleTime == core::Duration::zero())
         return nullptr;
     auto& connections = found->second;
-    const auto taken = std::find_if(connections.rbegin(), connections.rend(), [&options, now](const auto& connection) {
-        return now - connection->idleSince <= std::min(options.maxIdleTime, connection->keepAliveTimeout)
-            && attributesResponses(*connection, options);
-    });
+    const auto taken = std::find_if(connections.rbegin(), connections.rend(),
+        [&options, now](const auto& connection) { return isReusable(*connection, options, now); });
     if (taken == connections.rend())
         return nullptr;
     auto connection = *taken;
@@ -212,6 +251,12 @@
     return connection;
 }
 
+bool ClientPool::isReusable(const Connection& connection, const ExchangeOptions& options, core::TimePoint now)
+{
+    return now - connection.idleSince <= std::min(options.maxIdleTime, connection.keepAliveTimeout)
+        && attributesResponses(connection, options);
+}
+
 bool ClientPool::attributesResponses(const Connection& connection, const ExchangeOptions& options)
 {
     if (connection.identified != !options.echoFieldName.empty())
@@ -243,6 +288,7 @@
             }
             connection->connected = true;
             connection->connectedAt = core::monotonicNow();
+            this->heardAt = connection->connectedAt;
             configureSocket(connection->socket);
             connection->socket.non_blocking(true, failure);
             if (failure) {
@@ -313,6 +359,7 @@
             return;
         }
         connection->receivedAt = now;
+        this->heardAt = now;
         this->processResponseBytes(connection, std::string_view(this->readBuffer.data(), size));
         if (!connection->closed)
             this->read(connection);
--- a/source/transport/ClientPool.h
+++ b/source/transport/ClientPool.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace lagoontiller::transport {
@@ -38,6 +39,8 @@
     Malformed,
     /// \brief `responseTimeout` expired while the connection was open.
     TimedOut,
+    /// \brief Neither this node nor another one could reach the endpoint, so no byte of the request was sent.
+    NoPath,
 };
 
 /// \brief Callbacks of an exchange: `head` once, `body` for each received part of the body, `ended` last. An exchange
@@ -63,6 +66,18 @@
     [[nodiscard]] bool operator==(const OtherConnections&) const = default;
 };
 
+/// \brief What the connections of a pool show about the paths to their peers.
+struct PoolActivity {
+    /// \brief Last time at which a connection was established or bytes were received, whatever the peer.
+    core::TimePoint heardAt {};
+    /// \brief Since when the exchange that has waited longest on an open connection has received nothing; empty if none
+    /// waits.
+    std::optional<core::TimePoint> waitingSince;
+    /// \brief Since when the oldest connection that is not established yet is being opened; empty if there is none.
+    std::optional<core::TimePoint> connectingSince;
+    [[nodiscard]] bool operator==(const PoolActivity&) const = default;
+};
+
 /// \brief The connection that carries an exchange, for logs.
 struct ConnectionUse {
     /// \brief Number of the connection within its pool, from 1.
@@ -116,8 +131,15 @@
     void resume(ExchangeId exchange);
     /// \brief Closes all idle connections to the address.
     void closeIdle(const std::string& address);
+    /// \brief Closes all idle connections.
+    void closeAllIdle();
+    /// \brief Whether `send` would use an idle connection now.
+    [[nodiscard]] bool canReuse(const std::string& address, const ExchangeOptions& options, core::TimePoint now) const;
+    [[nodiscard]] PoolActivity activity() const;
     /// \brief What has happened on the connections to the address since `since`, which is at most `lossMemory` ago.
     [[nodiscard]] OtherConnections otherConnections(const std::string& address, core::TimePoint since) const;
+    /// \brief Whether the connection of the exchange is not established yet, so that no byte of its request was sent.
+    [[nodiscard]] bool isConnecting(ExchangeId exchange) const;
     /// \brief The connection of an exchange in progress; all 0 for an unknown one.
     [[nodiscard]] ConnectionUse connectionOf(ExchangeId exchange) const;
     /// \brief Number of responses so far that belonged to another request than the one in progress.
@@ -143,6 +165,8 @@
         const std::string& address, const ExchangeOptions& options, core::TimePoint now);
     /// \brief Whether a response to an earlier request on the idle connection can be told from the one to the exchange.
     [[nodiscard]] static bool attributesResponses(const Connection& connection, const ExchangeOptions& options);
+    [[nodiscard]] static bool isReusable(
+        const Connection& connection, const ExchangeOptions& options, core::TimePoint now);
     void connect(const ConnectionPointer& connection);
     void write(const ConnectionPointer& connection);
     void read(const ConnectionPointer& connection);
@@ -172,6 +196,7 @@
     std::unordered_map<std::string, std::vector<ConnectionPointer>> idle;
     /// \brief In the order of their times.
     std::deque<LostConnection> lostConnections;
+    core::TimePoint heardAt {};
     ExchangeId lastId = 0;
     std::size_t openedConnectionCount = 0;
     std::size_t skippedResponseCount = 0;
--- a/tests/support/GatewayWorld.h
+++ b/tests/support/GatewayWorld.h
@@ -45,13 +45,16 @@
         , peers({ this->peerLink, this->peerServer, this->budgets, this->histories, this->roster, this->relayServer,
               this->outageBuckets })
         , losses(this->context, this->endpointPool, this->observed, this->contact, this->expiry)
-        , gateway({ this->context, this->callers, this->endpointPool, this->directory, this->histories, this->peers,
+        , relayed(this->endpointPool, this->roster, this->directory)
+        , exchanges({ this->context, this->endpointPool, this->relayed, this->directory, this->metrics }, "z", 1)
+        , gateway({ this->context, this->callers, this->exchanges, this->directory, this->histories, this->peers,
                       this->losses, this->contact, this->versions, this->streamRows, this->metrics, this->proof,
                       this->quotas },
               { "z", "r", { { "z", "r" } }, 1 }, 1)
     {
         if (!this->callers.listen("127.0.0.1", 0).empty())
             throw std::runtime_error("the server of the test does not listen");
+        this->exchanges.setPathsLostHandler([this](core::TimePoint now) { this->gateway.handlePathsLost(now); });
         this->tick();
     }
 
@@ -147,6 +150,8 @@
     gateway::EndpointLossTracker losses;
     gateway::ConfigurationProof proof;
     gateway::QuotaService quotas { { this->peerLink, this->peers, this->roster }, "node:1", "z", {} };
+    gateway::RelayedExchanges relayed;
+    gateway::EndpointExchanges exchanges;
     gateway::Gateway gateway;
     transport::ExchangeId lastExchange = 0;
     /// \brief Accounts of the next configuration.
@@ -163,6 +168,7 @@
             if (error)
                 return;
             this->gateway.updateServiceVersions(core::monotonicNow());
+            this->exchanges.tick(core::monotonicNow());
             this->gateway.tick(core::monotonicNow());
             this->quotas.tick(core::monotonicNow());
             this->tick();
