Relay through stopping peers, and ask peers again after 0.5 s

Cause: a peer that was stopping or had rejected a call was left out for 2 s, a time that suits the store, which many peers reach. With three peers left that is all of them.

Change: live peers that are not ready come last in the choice; a stopping peer takes an exchange whose deadline lies before its end; a peer that rejected is asked again after 0.5 s.

Evidence: RelayedExchange.AStoppingPeerTakesOnlyWhatEndsBeforeItDoes.

--- a/source/gateway/ExchangeRelayServer.cpp
+++ b/source/gateway/ExchangeRelayServer.cpp
@@ -59,7 +59,8 @@
     transport::ConnectionId connection, const wire::RelayedExchange& request, bool pathsOpen)
 {
     const auto* const endpoint = this->dependencies.endpointDirectory.find(request.endpoint());
-    if (!pathsOpen || this->draining) {
+    const auto deadline = core::monotonicNow() + std::chrono::milliseconds(request.deadline_ms());
+    if (!pathsOpen || (this->stopSchedule && !this->stopSchedule->admits(deadline))) {
         this->reject(connection, wire::RelayRejection::NO_PATH, false);
     } else if (endpoint == nullptr || endpoint->entry.draining || endpoint->leaving
         || endpoint->entry.startedAt != request.endpoint_started_at_ms()) {
--- a/source/gateway/ExchangeRelayServer.h
+++ b/source/gateway/ExchangeRelayServer.h
@@ -3,6 +3,7 @@
 #include "core/Metrics.h"
 #include "gateway/EndpointDirectory.h"
 #include "gateway/EndpointExchanges.h"
+#include "gateway/StopSchedule.h"
 #include "transport/ClientPool.h"
 #include "transport/ConnectionProbe.h"
 #include "transport/Server.h"
@@ -47,8 +48,8 @@
     void handleDisconnect(transport::ConnectionId connection);
     /// \brief Continues to read a response that its peer has read.
     void handleDrained(transport::ConnectionId connection);
-    /// \brief Accepts no further exchanges.
-    void startDraining() noexcept { this->draining = true; }
+    /// \brief From now on accepts only exchanges that end before this node does.
+    void startDraining(const StopSchedule& schedule) { this->stopSchedule = schedule; }
     [[nodiscard]] std::size_t exchangesInProgress() const noexcept { return this->exchanges.size(); }
 
     /// \brief Exchanges that peers may have in progress at this node.
@@ -84,7 +85,7 @@
     std::unordered_map<transport::ConnectionId, Exchange> exchanges;
     /// \brief Connections whose request waits for the proof of the paths.
     std::set<transport::ConnectionId> waiting;
-    bool draining = false;
+    std::optional<StopSchedule> stopSchedule;
 };
 
 } // namespace lagoontiller::gateway
--- a/source/gateway/NodeRegistry.cpp
+++ b/source/gateway/NodeRegistry.cpp
@@ -384,11 +384,20 @@
     return inRegion;
 }
 
+std::vector<std::string> NodeRegistry::unreadyPeers() const
+{
+    std::vector<std::string> result;
+    for (const auto& [name, node] : this->knownNodes) {
+        if (node.alive && !node.entry.ready && name != this->self.name)
+            result.push_back(node.entry.peerAddress);
+    }
+    return result;
+}
+
 bool NodeRegistry::hasPeers() const
 {
-    return std::any_of(this->knownNodes.begin(), this->knownNodes.end(), [this](const auto& node) {
-        return node.second.alive && node.second.entry.ready && node.first != this->self.name;
-    });
+    return std::any_of(this->knownNodes.begin(), this->knownNodes.end(),
+        [this](const auto& node) { return node.second.alive && node.first != this->self.name; });
 }
 
 std::map<std::string, std::vector<std::string>> NodeRegistry::otherZones() const
--- a/source/gateway/NodeRegistry.h
+++ b/source/gateway/NodeRegistry.h
@@ -81,7 +81,9 @@
     [[nodiscard]] std::vector<ZonePeer> zonePeers() const;
     /// \brief Peer addresses of live, ready nodes in other zones; nodes of this node's region first.
     [[nodiscard]] std::vector<std::string> otherZonePeers() const;
-    /// \brief Whether any other node is live and ready.
+    /// \brief Peer addresses of live nodes of all zones that are not ready: they are starting or stopping.
+    [[nodiscard]] std::vector<std::string> unreadyPeers() const;
+    /// \brief Whether any other node is live.
     [[nodiscard]] bool hasPeers() const;
     /// \brief Peer addresses of live, ready nodes of other zones, by zone.
     [[nodiscard]] std::map<std::string, std::vector<std::string>> otherZones() const;
--- a/source/gateway/NodeStop.cpp
+++ b/source/gateway/NodeStop.cpp
@@ -22,7 +22,7 @@
     this->gateway.startDraining(*this->stopSchedule);
     this->peerService.announceStop(now);
     this->peerService.startDraining(*this->stopSchedule);
-    this->exchangeRelayServer.startDraining();
+    this->exchangeRelayServer.startDraining(*this->stopSchedule);
 }
 
 void Node::continueStop(const StopSchedule& schedule, core::TimePoint now)
--- a/source/gateway/RelaySelector.cpp
+++ b/source/gateway/RelaySelector.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// \brief Time for which a finding about a peer is used.
-constexpr core::Duration findingLifetime = std::chrono::milliseconds(2'000);
-
 /// \brief Moves another peer to the front with each count, so that calls are shared.
 void rotateBy(std::vector<std::string>& peers, std::size_t count)
 {
@@ -21,7 +18,10 @@
 std::optional<bool> RelaySelector::recentFinding(const std::string& peer, core::TimePoint now) const
 {
     const auto found = this->findings.find(peer);
-    if (found == this->findings.end() || now - found->second.at > findingLifetime)
+    if (found == this->findings.end())
+        return std::nullopt;
+    const auto lifetime = found->second.reachedTarget ? findingLifetime : this->options.absence;
+    if (now - found->second.at > lifetime)
         return std::nullopt;
     return found->second.reachedTarget;
 }
@@ -49,7 +49,7 @@
     auto& first = explore ? unknown : withContact;
     const auto& second = explore ? withContact : unknown;
     first.insert(first.end(), second.begin(), second.end());
-    first.resize(std::min(first.size(), this->maxPeersPerCall));
+    first.resize(std::min(first.size(), this->options.maxPeersPerCall));
     return std::move(first);
 }
 
--- a/source/gateway/RelaySelector.h
+++ b/source/gateway/RelaySelector.h
@@ -19,15 +19,30 @@
 /// answer has an unknown outcome, and because the relayed calls are shared among the known peers.
 class RelaySelector {
 public:
+    static constexpr std::size_t defaultPeersPerCall = 5;
+    /// \brief Time for which a finding about a peer is used.
+    static constexpr core::Duration findingLifetime = std::chrono::milliseconds(2'000);
+
     enum class Purpose : int {
         Call,
         Probe,
     };
 
+    struct Options {
+        /// \brief Peers that one call tries.
+        std::size_t maxPeersPerCall = defaultPeersPerCall;
+        /// \brief Time for which a peer that did not reach the target is left out.
+        core::Duration absence = findingLifetime;
+    };
+
     /// \brief Nodes with different seeds start with different peers.
-    explicit RelaySelector(std::size_t seed, std::size_t maxPeersPerCall = defaultPeersPerCall) noexcept
+    explicit RelaySelector(std::size_t seed) noexcept
+        : RelaySelector(seed, Options())
+    {
+    }
+    RelaySelector(std::size_t seed, const Options& options) noexcept
         : rotation(seed)
-        , maxPeersPerCall(maxPeersPerCall)
+        , options(options)
     {
     }
 
@@ -40,7 +55,6 @@
     /// \brief Records that the peer could not reach the target or did not answer.
     void notReached(const std::string& peer, core::TimePoint now);
 
-    static constexpr std::size_t defaultPeersPerCall = 5;
     static constexpr std::size_t wantedPeers = 3;
 
 private:
@@ -54,7 +68,7 @@
 
     std::unordered_map<std::string, Finding> findings;
     std::size_t rotation;
-    std::size_t maxPeersPerCall;
+    Options options;
 };
 
 } // namespace lagoontiller::gateway
--- a/source/gateway/RelayedExchanges.cpp
+++ b/source/gateway/RelayedExchanges.cpp
@@ -13,6 +13,8 @@
 
 /// \brief A peer that does not reach the endpoints rejects within milliseconds, so that most of a zone can be asked.
 constexpr std::size_t maxPeersPerExchange = 12;
+/// \brief Peers regain their paths, or start, at any time, and without a peer calls are refused.
+constexpr core::Duration maxPeerAbsence = std::chrono::milliseconds(500);
 constexpr core::Duration connectTimeout = std::chrono::milliseconds(150);
 /// \brief Peers keep idle connections for one minute.
 constexpr core::Duration maxIdleTime = std::chrono::seconds(30);
@@ -53,7 +55,7 @@
     : pool(pool)
     , nodeRegistry(nodeRegistry)
     , endpointDirectory(endpointDirectory)
-    , selector(std::random_device()(), maxPeersPerExchange)
+    , selector(std::random_device()(), { maxPeersPerExchange, maxPeerAbsence })
 {
 }
 
@@ -64,7 +66,11 @@
         if (!peer.self)
             zonePeers.push_back(peer.address);
     }
-    return this->selector.choose(zonePeers, this->nodeRegistry.otherZonePeers(), RelaySelector::Purpose::Probe, now);
+    auto otherPeers = this->nodeRegistry.otherZonePeers();
+    // A stopping peer takes what can end before it does.
+    const auto unready = this->nodeRegistry.unreadyPeers();
+    otherPeers.insert(otherPeers.end(), unready.begin(), unready.end());
+    return this->selector.choose(zonePeers, otherPeers, RelaySelector::Purpose::Probe, now);
 }
 
 bool RelayedExchanges::hasPeers() const
--- a/tests/RelayedExchangeTests.cpp
+++ b/tests/RelayedExchangeTests.cpp
@@ -59,7 +59,8 @@
                 [this](transport::ConnectionId connection) { this->relays.handleDrained(connection); } })
         , listenError(this->server.listen("127.0.0.1", 0))
         , registry(world.context, world.observed, world.contact,
-              { name, "z", "r", "caller-" + name, "127.0.0.1:" + std::to_string(this->server.port()), true }, { "z" })
+              { name, "z", "r", "caller-" + name, "127.0.0.1:" + std::to_string(this->server.port()), true, "1" },
+              { "z" })
         , pool(world.context)
         , relayed(this->pool, this->registry, this->directory)
         , exchanges({ world.context, this->pool, this->relayed, this->directory, this->metrics }, "z", 2)
@@ -238,6 +239,26 @@
     EXPECT_EQ(serving.requests.size(), 4U);
 }
 
+// Guards against calls that are refused although a peer that is stopping could still serve them, and against a peer
+// that begins what it can't end.
+TEST(RelayedExchange, AStoppingPeerTakesOnlyWhatEndsBeforeItDoes)
+{
+    for (const auto& [grace, status] :
+        std::vector<std::pair<milliseconds, int>> { { milliseconds(8'000), 200 }, { milliseconds(2'000), 503 } }) {
+        CutOffNode node(routeOf(CallKind::NonIdempotent), false);
+        ScriptedEndpoint endpoint(node.world.context, { { wholeAnswer("{id}", 200, "body", signatureLine) } });
+        auto& helper = node.addHelper();
+        for (const auto* const id : { "i-1", "i-2", "i-3" })
+            helper.addEndpoint(id, endpoint.address());
+        node.start();
+        helper.registry.setReady(false);
+        node.world.roster.noteStopping("helper-0", helper.registry.ownEntry().incarnation);
+        helper.relays.startDraining(gateway::StopSchedule(core::monotonicNow(), grace));
+        EXPECT_EQ(node.world.ask("a", "X-Deadline-Ms: 3000\r\n")->status, status);
+        EXPECT_EQ(endpoint.requests.size(), status == 200 ? 1U : 0U);
+    }
+}
+
 // Guards against a call that may not be repeated and runs twice because the peer that carried it lost the response.
 TEST(RelayedExchange, AResponseThatBreaksAtThePeerIsNotRequestedAgain)
 {
