Soak: nodes that reach no endpoint, and a mutant that does not relay

Cause: a node could lose its paths to all endpoints at once in no run: nodes shared one link to each endpoint. Change: each node has its own link to each endpoint, and the store tells it that address. A phase without other faults cuts every second node off, then every other one, in two of three ways; the phase of trouble does so beside its other faults. New rule RECOVER stranded, counted at callers. Mutant attempts-not-relayed.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -205,6 +205,8 @@
             if remaining_s <= 0.1:
                 break
             outcome = await self.attempt_or_resume(route, body, expected_body, fields, remaining_s, retry > 0, broken)
+            if retry == 0:
+                self.soak.record_first_try(outcome)
             if self.is_broken_stream(route, outcome):
                 # A second resumption names the first attempt or the one before.
                 first = broken[0] if broken and self.random.random() < 0.5 else outcome.id
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -6,7 +6,7 @@
 
 import http_wire as http
 from answers import PLAIN_LIES, RESUMED_LIES, STREAM_LIES, event_data, plain_bytes, stream_answer
-from links import Link
+from links import LinkGroup
 
 HEARTBEAT_INTERVAL_S = 0.4
 EVENT_INTERVAL_S = 0.012
@@ -30,7 +30,7 @@
     `unframed` sends whole responses without a length and without chunks.
     """
 
-    def __init__(self, rules, store, lies, random, name, service, zone, engine, version):
+    def __init__(self, rules, store, lies, random, name, service, zone, engine, version, nodes):
         self.rules = rules
         self.lies = lies
         self.store = store
@@ -49,11 +49,12 @@
         self.running = 0
         self.writers = set()
         self.seq = 0
+        self.nodes = nodes
 
     async def start(self, ip, port):
-        """Listens behind its own link; the platform lists the address of the link."""
+        """Listens behind a link for each node; the platform tells each node the address of its link."""
         self.listen_address = (ip, port)
-        self.link = Link(self.listen_address)
+        self.link = LinkGroup(self.listen_address, self.nodes)
         await self.link.start(ip, port + 1)
         await self.restart()
         self.heartbeat_task = asyncio.create_task(self.send_heartbeats())
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -109,6 +109,8 @@
             return "stream_service_gone";
         flow.service = service->second;
 """, "        (void)sendsTo(*flow.route, origin.service);\n"),
+    Mutant("attempts-not-relayed", "RECOVER stranded", "source/gateway/EndpointExchanges.cpp",
+           "this->endpointPaths.areLost() && this->dependencies.relayed.hasPeers();", "false;", alone=True),
     # Client accounts.
     Mutant("key-forwarded", "KEY forwarded", "platform/EndpointMessages.cpp",
            "return transport::sameName(name, headers::accountKey) || transport::sameName(name, headers::account);",
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -37,24 +37,29 @@
 class Node:
     """One VM of the deployment: a gateway process, restarted whenever it exits, and its links."""
 
-    def __init__(self, programs, directory, name, zone, ip, store_address, more_settings=""):
+    def __init__(self, programs, directory, name, zone, ip, link_ip, store_address, more_settings=""):
         self.programs = programs
         self.directory = directory
         self.name = name
         self.zone = zone
         self.ip = ip
         self.more_settings = more_settings
-        self.store_link = Link(store_address)
+        self.link_ip = link_ip
+        # The store tells the nodes apart by the address from which they are connected.
+        self.store_link = Link(store_address, link_ip)
         self.caller_link = Link((ip, 7101))
         self.process = None
         self.incarnation = 0
         self.disturbed_at = 0.0
+        self.stranded_since = None
+        # Begin and end of each time without a path to endpoints.
+        self.stranded_times = []
         self.settings_revision = 0
         self.keep = True
 
-    async def start(self, link_ip):
-        await self.store_link.start(link_ip, 7201)
-        await self.caller_link.start(link_ip, 7202)
+    async def start(self):
+        await self.store_link.start(self.link_ip, 7201)
+        await self.caller_link.start(self.link_ip, 7202)
         self.write_settings()
         await self.launch()
 
@@ -93,6 +98,16 @@
     def had_store_contact(self, at):
         return at - self.disturbed_at > STORE_CONTACT_GRACE_S
 
+    def note_joined(self):
+        """Records that the node reaches endpoints again."""
+        self.stranded_times.append((self.stranded_since, time.monotonic()))
+        self.stranded_since = None
+
+    def is_stranded(self, at, for_s=0.0):
+        """Whether the node reached no endpoint at that time and for some seconds before."""
+        now = (self.stranded_since, float("inf"))
+        return any(since is not None and since + for_s <= at < until for since, until in [*self.stranded_times, now])
+
     async def kill(self):
         self.mark_disturbed()
         self.send(signal.SIGKILL)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,6 +5,8 @@
 WARM_UP_S = 3.0
 PLANNED_S = 7.0
 STREAMS_S = 4.5
+# Some nodes reach no endpoint, without other faults beside them.
+STRANDED_S = 6.0
 # Only with accounts: a key is revoked, without other faults beside it.
 REVOCATION_S = 7.5
 FAULTS_S = 12.0
@@ -16,6 +18,7 @@
 
 STORE_MODES = ("down", "silent", "slow", "lost", "late")
 LINK_MODES = ("delay", "cut", "one_way")
+STRANDED_MODES = ("hang", "reset", "refuse")
 ENDPOINT_FAULTS = ("lost", "slow", "hang", "full", "lies", "break")
 
 
@@ -46,9 +49,17 @@
     return [Step(WARM_UP_S + PLANNED_S, "streams", 0, "", STREAMS_S - 2)]
 
 
+def stranded_steps(random):
+    """Half of the nodes, then another half, are partitioned from all endpoints."""
+    start = WARM_UP_S + PLANNED_S + STREAMS_S
+    first = random.randrange(100)
+    modes = random.sample(STRANDED_MODES, 2)
+    return [Step(start, "strand", first, modes[0], 3.0), Step(start + 3.3, "strand", first + 1, modes[1], 2.2)]
+
+
 def revocation_steps():
     """The node that is frozen misses the revocation for longer than the bound of 3 s; see accounts.py."""
-    return [Step(WARM_UP_S + PLANNED_S + STREAMS_S, "revocation", 0, "", 4.6)]
+    return [Step(WARM_UP_S + PLANNED_S + STREAMS_S + STRANDED_S, "revocation", 0, "", 4.6)]
 
 
 def account_steps(random):
@@ -59,7 +70,7 @@
 
 
 def faults_start_s(accounts):
-    return WARM_UP_S + PLANNED_S + STREAMS_S + (REVOCATION_S if accounts else 0)
+    return WARM_UP_S + PLANNED_S + STREAMS_S + STRANDED_S + (REVOCATION_S if accounts else 0)
 
 
 def fault_steps(random, start):
@@ -70,7 +81,8 @@
         target = random.randrange(100)
         seconds = random.uniform(0.5, 3.5)
         kind = random.choice(("store", "store", "forget", "freeze", "kill", "kill", "stop", "reload", "store_link",
-                              "caller_link", "endpoint_link", "reset", "silence", "endpoint", "endpoint", "crash", "killed", "drain"))
+                              "caller_link", "endpoint_link", "reset", "silence", "endpoint", "endpoint", "crash", "killed", "drain",
+                              "strand"))
         mode = ""
         if kind == "store":
             mode = random.choice(STORE_MODES)
@@ -78,6 +90,8 @@
             mode = random.choice(LINK_MODES)
         elif kind == "endpoint":
             mode = random.choice(ENDPOINT_FAULTS)
+        elif kind == "strand":
+            mode = random.choice(STRANDED_MODES)
         elif kind in ("reset", "silence"):
             mode = random.choice(("store", "caller", "endpoint"))
         steps.append(Step(at, kind, target, mode, seconds))
@@ -94,7 +108,7 @@
 
 
 def make(random, accounts):
-    steps = planned_steps(random) + stream_steps() + fault_steps(random, faults_start_s(accounts))
+    steps = planned_steps(random) + stream_steps() + stranded_steps(random) + fault_steps(random, faults_start_s(accounts))
     if accounts:
         steps += revocation_steps() + account_steps(random)
     return sorted(steps, key=lambda step: step.at_s)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -28,6 +28,8 @@
 ROLLBACK_SLACK_S = 0.25
 # Share of the requests of the calm phase that must be served; callers give up a few while nodes recover.
 SERVED_AFTER_RECOVERY = 0.95
+# Time in which a node without paths to endpoints has to find other ways.
+STRANDED_CONTACT_S = 1.0
 ENGINE_SERVICES = ("engines", "engines-2")
 PLAIN_SERVICES = ("ledger-1", "ledger-2", "ledger-3", "ledger-4")
 
@@ -56,6 +58,7 @@
         self.outcomes = collections.Counter()
         self.chains = []
         self.calm = collections.Counter()
+        self.first_tries = collections.Counter()
         self.planned_phase_end_s = plan.WARM_UP_S + plan.PLANNED_S
         self.account_clients = AccountClients(self, seed) if self.accounts else None
         self.tasks = set()
@@ -71,6 +74,7 @@
 
     async def start(self):
         await self.store.start(self.ip(0), 7000)
+        self.store.endpoint_address = self.endpoint_address
         self.publish_configuration()
         number = 0
         for service, engine, count in ([(name, True, 4) for name in ENGINE_SERVICES]
@@ -80,7 +84,7 @@
                 zone = list(ZONES)[index % len(ZONES)]
                 version = str(1 + index // len(ZONES))
                 endpoint = Endpoint(self.rules, self.store, self.lies, self.random, f"e{number}", service, zone, engine,
-                                    version)
+                                    version, self.node_count)
                 endpoint.unframed = self.unframed
                 self.endpoints.append(endpoint)
                 await endpoint.start(self.ip(100 + number), 7301)
@@ -89,15 +93,20 @@
             # Adjacent nodes of a zone start with different builds.
             first = index // len(ZONES) % len(self.programs)
             programs = self.programs[first:] + self.programs[:first]
-            node = Node(programs, self.directory, f"n{index}", zone, self.ip(10 + index), (self.ip(0), 7000),
-                        accounts.SETTINGS if self.accounts else "")
+            node = Node(programs, self.directory, f"n{index}", zone, self.ip(10 + index), self.ip(60 + index),
+                        (self.ip(0), 7000), accounts.SETTINGS if self.accounts else "")
             self.nodes.append(node)
-            await node.start(self.ip(60 + index))
+            await node.start()
         for index in range(self.node_count * 5):
             zone = list(ZONES)[index % len(ZONES)]
             self.callers.append(Caller(self, random.Random(self.random.random()), f"c{index}", zone, self.caller_key(index)))
         self.started_at = time.monotonic()
 
+    def endpoint_address(self, link_ip, name):
+        index = next((index for index, node in enumerate(self.nodes) if node.link_ip == link_ip), None)
+        endpoint = next((each for each in self.endpoints if each.name == name), None)
+        return endpoint.link.address_for(index) if endpoint and index is not None else None
+
     def caller_of(self, program):
         return next(caller for caller in self.callers if caller.name == program.split(".")[0])
 
@@ -176,6 +185,8 @@
             self.account_clients.revoke(accounts.REVOKED_IN_TROUBLE)
         elif step.kind == "move":
             self.move_route(("read", "lodge")[step.target])
+        elif step.kind == "strand":
+            await self.strand(step)
         elif step.kind == "endpoint":
             endpoint.fault = step.mode
             await asyncio.sleep(step.duration_s)
@@ -202,6 +213,40 @@
         else:
             await self.apply_link_fault(step, node, endpoint)
 
+    async def strand(self, step):
+        """Partitions every second node from all endpoints; the others, the store and callers still reach it."""
+        indices = [index for index in range(len(self.nodes)) if (index + step.target) % 2 == 0]
+        links = [endpoint.link.links[index] for endpoint in self.endpoints for index in indices]
+        for index in indices:
+            self.nodes[index].stranded_since = time.monotonic()
+        await asyncio.gather(*(link.strand(step.mode) for link in links))
+        await asyncio.sleep(step.duration_s)
+        for index in indices:
+            self.nodes[index].note_joined()
+        await asyncio.gather(*(link.join_again() for link in links))
+
+    def record_first_try(self, outcome):
+        """Counts first tries in the phase of stranded nodes, where no other fault is injected."""
+        start = self.planned_phase_end_s + plan.STREAMS_S
+        if outcome.request is None or not start < outcome.request.sent_at - self.started_at < start + plan.STRANDED_S:
+            return
+        node = self.node(outcome.request.node)
+        if node.is_stranded(outcome.request.sent_at):
+            if node.is_stranded(outcome.request.sent_at, STRANDED_CONTACT_S):
+                self.first_tries[("stranded", outcome.complete and outcome.status in (200, 402, 404))] += 1
+        else:
+            self.first_tries[("others", outcome.complete and outcome.status in (200, 402, 404))] += 1
+
+    def check_stranded(self):
+        """Nodes without a path to any endpoint serve their callers through the others."""
+        failed, served = self.first_tries[("stranded", False)], self.first_tries[("stranded", True)]
+        others = self.first_tries[("others", True)] / max(1, sum(self.first_tries[("others", each)] for each in (True, False)))
+        total = failed + served
+        if failed > 10 + total / 50 and served < total * others * 2 / 3:
+            self.rules.report_violation(
+                "RECOVER stranded", f"{served} of {total} first tries were served at nodes without paths to endpoints, "
+                f"{others:.2f} of those at the others")
+
     async def apply_store_mode(self, step):
         self.store.mode = step.mode
         self.mark_all_disturbed()
@@ -346,13 +391,15 @@
         self.check_and_summarize(steps)
 
     def check_and_summarize(self, steps):
+        self.check_stranded()
         total = sum(self.calm.values())
         if self.calm["served"] < SERVED_AFTER_RECOVERY * total:
             self.rules.report_violation(
                 "RECOVER", f"{self.calm['served']} of {total} requests were served after the final fault")
         answers = " ".join(f"{route}:{status}={count}" for (route, status), count in sorted(self.outcomes.items(), key=str))
         print(f"faults={len(steps)} longest_pause_ms={self.longest_pause_s * 1000:.0f} runs={self.rules.runs} "
-              f"answers={self.rules.answers} limit_judged={self.rules.limit_judged} calm={self.calm['served']}/{total} {answers}")
+              f"answers={self.rules.answers} limit_judged={self.rules.limit_judged} calm={self.calm['served']}/{total} "
+              f"stranded={self.first_tries[('stranded', True)]}/{sum(self.first_tries[('stranded', each)] for each in (True, False))} {answers}")
         if self.accounts:
             self.account_clients.check_coverage()
             print(f"crowd={self.rules.most_crowd_runs} of {self.accounts.quota_per_window():.1f} in a window "
@@ -367,8 +414,10 @@
                 node.process.kill()
                 await node.process.wait()
         links = [each for node in self.nodes for each in (node.store_link, node.caller_link)]
-        for each in [self.store, *links, *self.endpoints, *(endpoint.link for endpoint in self.endpoints)]:
+        for each in [self.store, *links, *self.endpoints]:
             each.server.close()
+        for endpoint in self.endpoints:
+            endpoint.link.close()
 
 
 async def run_seed(arguments, seed):
--- a/soak/store.py
+++ b/soak/store.py
@@ -24,6 +24,8 @@
         self.mode = "ok"
         self.changed = asyncio.Event()
         self.calls = 0
+        # Replaces addresses of endpoints in the rows that a node reads: the function gets the IP of the node's link.
+        self.endpoint_address = lambda link_ip, name: None
 
     async def start(self, ip, port):
         self.server = await asyncio.start_server(self.serve, ip, port)
@@ -61,7 +63,7 @@
         try:
             while (request := await http.read_message(reader)) is not None:
                 self.calls += 1
-                answer = await self.answer(request)
+                answer = await self.answer(request, writer.get_extra_info("peername")[0])
                 if answer is None:
                     break
                 writer.write(answer)
@@ -71,7 +73,7 @@
         finally:
             http.abort(writer)
 
-    async def answer(self, request):
+    async def answer(self, request, link_ip):
         """Returns the bytes of the answer; None to leave the call unanswered."""
         parts = urlsplit(request.line[1])
         if self.mode == "down":
@@ -84,8 +86,8 @@
             return await self.transact(json.loads(request.body))
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         if parts.path == "/v1/rows-get":
-            return self.get(query)
-        return await self.feed(query)
+            return self.get(query, link_ip)
+        return await self.feed(query, link_ip)
 
     async def transact(self, body):
         def key(entry):
@@ -109,20 +111,20 @@
             return self.reply(200, [])
         return self.reply(412, [self.row(each, *self.rows[each]) for each, _ in conditions if each in self.rows])
 
-    def get(self, query):
+    def get(self, query, link_ip):
         place = (query["table"], query.get("part", ""))
         start, end = query.get("from", ""), query.get("to", "")
         found = sorted(key for key in self.rows
                        if key[:2] == place and key[2] >= start and (not end or key[2] < end))
         limit = int(query.get("limit", 500))
-        return self.reply(200, [self.row(key, *self.rows[key]) for key in found[:limit]], len(found) > limit)
+        return self.reply(200, [self.row_for(link_ip, key, *self.rows[key]) for key in found[:limit]], len(found) > limit)
 
-    async def feed(self, query):
+    async def feed(self, query, link_ip):
         after, end = int(query["after"]), time.monotonic() + int(query["waitMs"]) / 1000
         while True:
             if after < self.oldest_version:
                 return http.response_bytes(410)
-            rows = [self.row(key, version, value) for version, key, value in self.history
+            rows = [self.row_for(link_ip, key, version, value) for version, key, value in self.history
                     if version > after and key[0] == query["table"]]
             remaining_s = end - time.monotonic()
             if rows or remaining_s <= 0 or self.mode in ("down", "silent"):
@@ -132,6 +134,14 @@
             except asyncio.TimeoutError:
                 pass
 
+    def row_for(self, link_ip, key, version, value):
+        """The row as the node behind the link sees it: it reaches each endpoint by a link of its own."""
+        address = self.endpoint_address(link_ip, key[2]) if key[0] == "servers" and value is not None else None
+        if address:
+            entry = json.loads(base64.b64decode(value)) | {"address": address}
+            value = base64.b64encode(json.dumps(entry).encode()).decode()
+        return self.row(key, version, value)
+
     @staticmethod
     def row(key, version, value):
         row = {"table": key[0], "part": key[1], "key": key[2], "ver": version}
