Remember leaving endpoints while their entries are missing

By reading, and in a test: an endpoint that had said in a response that it was leaving got calls again once its entry had vanished from the store and returned, as entries do after an outage of the store; a notice that came while the entry was missing was ignored.

Cause: the notice was a flag of the directory's entry, and lived and died with it. What a process says of itself is a fact about the process (id and start time), not about the row.

Change: EndpointDirectory keeps the processes that are leaving apart from the entries, until a process has been without an entry for ten minutes.

--- a/source/gateway/EndpointDirectory.cpp
+++ b/source/gateway/EndpointDirectory.cpp
@@ -14,6 +14,9 @@
 /// \brief Limit of the doublings of `baseFullBackoff` for consecutive refusals: an endpoint that refuses all calls
 /// while idle is retried every 1.6 s.
 constexpr int maxBackoffDoublings = 4;
+/// \brief Time for which a leaving process without an entry is remembered. Entries return after store outages, which
+/// last minutes at most; a leaving process ends sooner than that.
+constexpr core::Duration leavingMemory = std::chrono::minutes(10);
 
 } // namespace
 
@@ -34,6 +37,7 @@
     auto& endpoint = this->endpoints[entry.id];
     const auto previousService = endpoint.entry.service;
     endpoint.entry = entry;
+    endpoint.leaving = endpoint.leaving || this->isLeaving(entry);
     if (endpoint.healthId == 0) {
         endpoint.healthId = ++this->lastHealthId;
         this->byHealthId.emplace(endpoint.healthId, entry.id);
@@ -61,10 +65,13 @@
 
 void EndpointDirectory::markLeaving(const std::string& id, std::int64_t startedAt, core::TimePoint now)
 {
+    const bool isNew = this->leavingProcesses.insert_or_assign({ id, startedAt }, now).second;
     const auto found = this->endpoints.find(id);
-    if (found == this->endpoints.end() || found->second.leaving || found->second.entry.startedAt != startedAt)
+    const bool listed = found != this->endpoints.end() && found->second.entry.startedAt == startedAt;
+    if (isNew)
+        core::logInfo("endpoint_leaving").with("endpoint", id).with("listed", listed ? "yes" : "no");
+    if (!listed || found->second.leaving)
         return;
-    core::logInfo("endpoint_leaving").with("endpoint", id);
     found->second.leaving = true;
     this->updateState(found->second, now);
 }
@@ -190,8 +197,18 @@
     this->callEnded(id);
 }
 
+bool EndpointDirectory::isLeaving(const Endpoint& entry) const
+{
+    return this->leavingProcesses.contains({ entry.id, entry.startedAt });
+}
+
 void EndpointDirectory::tick(core::TimePoint now)
 {
+    std::erase_if(this->leavingProcesses, [this, now](const auto& process) {
+        const auto* const endpoint = this->find(process.first.first);
+        const bool listed = endpoint != nullptr && endpoint->entry.startedAt == process.first.second;
+        return !listed && now - process.second > leavingMemory;
+    });
     this->applyHealthChanges(this->health.tick(now));
 }
 
--- a/source/gateway/EndpointDirectory.h
+++ b/source/gateway/EndpointDirectory.h
@@ -70,7 +70,8 @@
     /// \brief Records a call that the endpoint refused without executing it.
     void callRefused(const std::string& id, core::TimePoint now);
     /// \brief Takes the process that started at `startedAt` (Unix milliseconds) out of service, whatever its entry
-    /// states. A process that has replaced it since is not affected.
+    /// states, also while it is missing and after it has returned. A process that has replaced it since is not
+    /// affected.
     void markLeaving(const std::string& id, std::int64_t startedAt, core::TimePoint now);
     /// \brief Records a call that was cancelled by this node or by its caller.
     void callAbandoned(const std::string& id);
@@ -84,6 +85,7 @@
     void applyHealthChanges(const std::vector<policy::HealthChange>& changes);
     /// \brief Adds the endpoint to the service's sorted list, or removes it.
     void setServing(const std::string& service, const std::string& id, bool serving);
+    [[nodiscard]] bool isLeaving(const Endpoint& entry) const;
     [[nodiscard]] policy::ServiceId serviceId(const std::string& service);
     /// \brief Decrements the calls in progress; null if the endpoint is unknown.
     TrackedEndpoint* callEnded(const std::string& id);
@@ -94,6 +96,8 @@
     std::map<std::string, std::vector<std::string>> services;
     std::unordered_map<std::string, policy::ServiceId> serviceIds;
     policy::EndpointId lastHealthId = 0;
+    /// \brief Processes that stated that they are leaving, by endpoint id and start time, and when.
+    std::map<std::pair<std::string, std::int64_t>, core::TimePoint> leavingProcesses;
 };
 
 } // namespace lagoontiller::gateway
