Soak: endpoints that say that they are leaving, and a mutant that forgets

Cause: no endpoint of the soak stated in its responses that it was leaving. Change: in the phase of lost paths two endpoints do, while their entries stay, vanish and return; a new process follows. New rule DRAIN leaving, counted per process of a node. Mutant leaving-forgotten.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -161,6 +161,8 @@
         outcome.retry_after = float(message.fields.get("retry-after", 0))
         outcome.closes = message.fields.get("connection") == "close"
         self.rules.record_status(request, message.status)
+        if "server-leaving" in message.fields:
+            self.rules.record_leaving(request)
         if request.kind == "streaming" and message.status == 200:
             await self.receive_stream(request, reader, message, outcome)
             return
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -50,6 +50,9 @@
         self.writers = set()
         self.seq = 0
         self.nodes = nodes
+        # The process says in its responses that it is leaving; its entry is missing meanwhile if it is not listed.
+        self.leaving = False
+        self.listed = True
 
     async def start(self, ip, port):
         """Listens behind a link for each node; the platform tells each node the address of its link."""
@@ -87,7 +90,7 @@
 
     async def send_heartbeats(self):
         while True:
-            if self.up and self.store.mode not in ("down", "silent"):
+            if self.up and self.listed and self.store.mode not in ("down", "silent"):
                 self.seq += 1
                 self.store.put_json("servers", self.name, {
                     "id": self.name, "service": self.service, "address": self.link.address, "zone": self.zone,
@@ -127,7 +130,24 @@
             self.running -= 1
 
     def limit_field(self):
-        return {} if self.limit_per_s is None else {"Server-Limit": self.limit_per_s}
+        fields = {} if self.limit_per_s is None else {"Server-Limit": self.limit_per_s}
+        return fields | ({"Server-Leaving": 1} if self.leaving else {})
+
+    async def leave(self, seconds):
+        """Says in responses that it is leaving while its entry stays, vanishes and returns, then ends; a new process
+        starts."""
+        self.leaving = True
+        await asyncio.sleep(seconds / 6)
+        self.listed = False
+        self.store.drop("servers", self.name)
+        await asyncio.sleep(seconds / 2)
+        self.listed = True
+        await asyncio.sleep(seconds / 3)
+        await self.crash(in_order=True)
+        await asyncio.sleep(KILLED_S)
+        self.leaving = False
+        self.rules.forget_leaving(self.name)
+        await self.restart()
 
     def choose_lie(self, lies, often=False):
         if self.fault == "lies" and self.random.random() < (0.9 if often else 0.5):
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -111,6 +111,8 @@
 """, "        (void)sendsTo(*flow.route, origin.service);\n"),
     Mutant("attempts-not-relayed", "RECOVER stranded", "source/gateway/EndpointExchanges.cpp",
            "this->endpointPaths.areLost() && this->dependencies.relayed.hasPeers();", "false;", alone=True),
+    Mutant("leaving-forgotten", "DRAIN leaving", "source/gateway/EndpointDirectory.cpp",
+           "    endpoint.leaving = endpoint.leaving || this->isLeaving(entry);\n", ""),
     # Client accounts.
     Mutant("key-forwarded", "KEY forwarded", "platform/EndpointMessages.cpp",
            "return transport::sameName(name, headers::accountKey) || transport::sameName(name, headers::account);",
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -50,11 +50,13 @@
 
 
 def stranded_steps(random):
-    """Half of the nodes, then another half, are partitioned from all endpoints."""
+    """Half of the nodes, then another half, are partitioned from all endpoints; two endpoints are leaving."""
     start = WARM_UP_S + PLANNED_S + STREAMS_S
     first = random.randrange(100)
     modes = random.sample(STRANDED_MODES, 2)
-    return [Step(start, "strand", first, modes[0], 3.0), Step(start + 3.3, "strand", first + 1, modes[1], 2.2)]
+    cuts = [Step(start, "strand", first, modes[0], 3.0), Step(start + 3.3, "strand", first + 1, modes[1], 2.2)]
+    # An engine and a plain endpoint leave meanwhile.
+    return cuts + [Step(start - 0.5, "leave", target, "", STRANDED_S) for target in (3, 9)]
 
 
 def revocation_steps():
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -10,6 +10,7 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_CONTACT_S = 4.0
 LIMIT_KNOWN_AFTER_S = 0.5
+DRAIN_S = 2.5
 NOT_RUN = {402, 408, 421, 429, 503}
 # Time for the way of a request to an endpoint and for its reading there.
 SEND_SLACK_S = 0.25
@@ -61,6 +62,8 @@
         self.crowd_runs = collections.deque()
         self.most_crowd_runs = 0
         self.limit_judged = 0
+        # Time at which a process of a node first passed on the notice of an endpoint that it is leaving.
+        self.leaving_notices = {}
         self.runs = 0
         self.answers = 0
 
@@ -112,11 +115,31 @@
         if request.status in NOT_RUN:
             self.report_violation(
                 "REFUSED", f"{id} ran {time.monotonic() - request.refused_at:.3f} s after status {request.status}")
+        self.check_leaving(request, endpoint)
         request.runs.append((endpoint, service))
         if len(request.runs) > request.max_endpoints:
             self.report_violation("BUDGET", f"{id} ran {len(request.runs)} times")
         self.check_service(request, service)
 
+    # Endpoints that are leaving.
+
+    def record_leaving(self, request):
+        """Records that a node passed on a response in which an endpoint says that it is leaving."""
+        if request.runs:
+            key = (request.node, request.incarnation, request.runs[-1][0])
+            self.leaving_notices.setdefault(key, time.monotonic())
+
+    def forget_leaving(self, endpoint):
+        """The process of the endpoint has ended."""
+        self.leaving_notices = {key: at for key, at in self.leaving_notices.items() if key[2] != endpoint}
+
+    def check_leaving(self, request, endpoint):
+        noticed_at = self.leaving_notices.get((request.node, request.incarnation, endpoint))
+        if noticed_at is not None and request.sent_at > noticed_at + DRAIN_S:
+            self.report_violation(
+                "DRAIN leaving", f"{request.id} reached {endpoint} from {request.node} "
+                f"{request.sent_at - noticed_at:.3f} s after the notice")
+
     # Accounts, at endpoints.
 
     def held(self, id):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -185,6 +185,8 @@
             self.account_clients.revoke(accounts.REVOKED_IN_TROUBLE)
         elif step.kind == "move":
             self.move_route(("read", "lodge")[step.target])
+        elif step.kind == "leave":
+            await endpoint.leave(step.duration_s)
         elif step.kind == "strand":
             await self.strand(step)
         elif step.kind == "endpoint":
