Treat status lines outside HTTP as malformed responses

What callers saw: a response with a status of 600 to 999 as an answer; of 000 to 099 the bytes behind it as an answer, or nothing until the deadline (probed on by the issue, and by our test). The same held for codes of one, two or four digits, for 101 and for versions other than 1.x.

Cause: http_parser takes a code for a number and any code below 200 for an interim response; its reader here took over both.

Change: StatusLineCheck compares the form of the line with RFC 9112, section 4, before the parser sees it; codes outside 100 to 599, and 101, which no request asks for, make the response malformed. The parser stops behind each interim response, so that the line of the next head is checked wherever it begins. A malformed response fails the attempt: 502, or another endpoint where the call may run again.

TransportParser.RejectsTheFoundHeadForEverySegmentation: its input begins with a code of two digits and is now malformed before its head is too large. The test checks that, and the limit with the same input under a valid code of the same length.

Soak: endpoints among those that send faulty responses send 000, 099, 600 and 999; rule MIXED status; mutant invalid-status-passed.

--- a/soak/answers.py
+++ b/soak/answers.py
@@ -11,7 +11,9 @@
 # between events because the process is killed.
 STREAM_LIES = ("head", "cut", "unframed", "torn", "killed", "gap", "twice", "back")
 RESUMED_LIES = ("skip", "restart", "gap", "twice", "torn", "killed")
-PLAIN_LIES = ("head", "cut", "unframed", "torn", "killed", "chunks", "chunks_cut")
+PLAIN_LIES = ("head", "cut", "unframed", "torn", "killed", "chunks", "chunks_cut", "status")
+# Status codes outside HTTP (RFC 9110, section 15).
+INVALID_CODES = ("000", "099", "600", "999")
 
 
 class Lies:
@@ -95,6 +97,9 @@
         return f"HTTP/1.1 200 OK\r\n{head}Content-Length: 1".encode(), "close"
     if lie == "cut":
         return http.response_bytes(200, fields, body)[:-len(half)], "close"
+    if lie == "status":
+        code = INVALID_CODES[sum(fields["X-Request-Id"].encode()) % len(INVALID_CODES)]
+        return f"HTTP/1.1 {code} X\r\n{head}Content-Length: {len(body)}\r\n\r\n".encode() + body, "end"
     if lie in ("unframed", "torn", "killed"):
         start = f"HTTP/1.1 200 OK\r\n{head}\r\n".encode()
         return start + (body if lie == "unframed" else half), "killed" if lie == "killed" else "close"
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -113,6 +113,9 @@
            "this->endpointPaths.areLost() && this->dependencies.relayed.hasPeers();", "false;", alone=True),
     Mutant("leaving-forgotten", "DRAIN leaving", "source/gateway/EndpointDirectory.cpp",
            "    endpoint.leaving = endpoint.leaving || this->isLeaving(entry);\n", ""),
+    Mutant("invalid-status-passed", "MIXED status", "source/transport/Parser.cpp",
+           "if (this->kind == Kind::Response && !isValidStatus(this->parser.status_code))",
+           "if (this->kind == Kind::Response && this->parser.status_code == switchingProtocolsStatus)"),
     # Client accounts.
     Mutant("key-forwarded", "KEY forwarded", "platform/EndpointMessages.cpp",
            "return transport::sameName(name, headers::accountKey) || transport::sameName(name, headers::account);",
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -237,6 +237,8 @@
 
     def record_status(self, request, status):
         self.answers += 1
+        if not 100 <= status <= 599:
+            self.report_violation("MIXED status", f"{request.id} was answered {status:03}")
         request.status = status
         request.refused_at = time.monotonic()
         if status in NOT_RUN and request.runs:
--- a/source/transport/Parser.cpp
+++ b/source/transport/Parser.cpp
@@ -114,6 +114,9 @@
             reader.headFields = Fields();
             reader.fieldBytes = 0;
             reader.bodyFraming = Framing::None;
+            // The next status line begins here.
+            reader.interimEnded = true;
+            http_parser_pause(parser, 1);
             return 0;
         }
         reader.currentState = ParserState::Complete;
@@ -149,6 +152,8 @@
     this->currentState = ParserState::Incomplete;
     this->hasStarted = false;
     this->headParsed = false;
+    this->interimEnded = false;
+    this->statusLine.reset();
     this->inValue = false;
     this->keepAliveAllowed = true;
     this->bodyFraming = Framing::None;
@@ -190,6 +195,10 @@
 {
     static const http_parser_settings settings = ParserCallbacks::settings();
     this->hasStarted = true;
+    if (this->kind == Kind::Response && !this->headParsed && !this->statusLine.feed(bytes)) {
+        this->currentState = ParserState::Malformed;
+        return bytes.size();
+    }
     const bool hadHead = this->headParsed;
     this->segmentStart = bytes.data();
     const auto used = http_parser_execute(&this->parser, &settings, bytes.data(), bytes.size());
@@ -200,6 +209,10 @@
     if (valid && this->exceedsFramingLimit(this->consumedBytes - this->bodyBytes))
         this->currentState = ParserState::Malformed;
     const auto error = HTTP_PARSER_ERRNO(&this->parser);
+    if (std::exchange(this->interimEnded, false)) {
+        http_parser_pause(&this->parser, 0);
+        this->statusLine.reset();
+    }
     if (this->currentState == ParserState::Incomplete && error != HPE_OK && error != HPE_PAUSED)
         this->currentState = error == HPE_HEADER_OVERFLOW ? ParserState::HeaderTooLarge : ParserState::Malformed;
     return used;
@@ -290,6 +303,8 @@
     this->storeField();
     this->headParsed = true;
     this->keepAliveAllowed = http_should_keep_alive(&this->parser) != 0;
+    if (this->kind == Kind::Response && !isValidStatus(this->parser.status_code))
+        return false;
     if (this->kind == Kind::Request)
         this->methodName = http_method_str(static_cast<http_method>(this->parser.method));
     for (const auto& field : this->headFields) {
--- a/source/transport/Parser.h
+++ b/source/transport/Parser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "transport/Message.h"
+#include "transport/StatusLine.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -94,6 +95,9 @@
     bool headRequest = false;
     bool hasStarted = false;
     bool headParsed = false;
+    /// \brief An interim response has ended in the segment that is being parsed.
+    bool interimEnded = false;
+    StatusLineCheck statusLine;
     bool inValue = false;
     bool keepAliveAllowed = true;
     Framing bodyFraming = Framing::None;
--- a/tests/TransportParserTests.cpp
+++ b/tests/TransportParserTests.cpp
@@ -250,9 +250,16 @@
     std::ifstream file(REPOSITORY "/tests/fuzz/findings/ResponseFuzz-head-limit", std::ios::binary);
     const std::string bytes((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
     ASSERT_GT(bytes.size(), 1'025U);
-    const LimitCase message { "Found", Parser::Kind::Response, bytes };
-    for (std::size_t first = 0; first <= bytes.size(); ++first)
+    // The status line of the input has a code of two digits, which is rejected before the limit is reached.
+    const std::string_view foundLine = "HTTP/1.1 20 ";
+    ASSERT_EQ(bytes.substr(0, foundLine.size()), foundLine);
+    const LimitCase found { "Found", Parser::Kind::Response, bytes };
+    const LimitCase message { "WithInterimCode", Parser::Kind::Response,
+        "HTTP/1.1 102" + bytes.substr(foundLine.size()) };
+    for (std::size_t first = 0; first <= bytes.size(); ++first) {
+        EXPECT_EQ(stateAfter(found, { 1'024, 1'024 }, first), ParserState::Malformed) << "cut at " << first;
         EXPECT_EQ(stateAfter(message, { 1'024, 1'024 }, first), ParserState::HeaderTooLarge) << "cut at " << first;
+    }
 }
 
 namespace {
