--- a/source/transport/ClientPool.cpp
+++ b/source/transport/ClientPool.cpp
@@ -1,8 +1,8 @@
 #include "transport/ClientPool.h"
 
 #include "document/Address.h"
-#include "transport/SentIdentifiers.h"
 #include "transport/SocketOptions.h"
+#include "transport/impl/ClientConnection.h"
 
 #include <algorithm>
 #include <asio/write.hpp>
@@ -13,8 +13,6 @@
 namespace {
 
 constexpr auto timeoutCheckInterval = std::chrono::milliseconds(100);
-/// \brief Idle time after which a connection is closed if the peer announced no time-out.
-constexpr auto defaultKeepAliveTimeout = std::chrono::seconds(10);
 /// \brief Subtracted from the time-out that the peer announced, so that no request is sent while the peer closes the
 /// connection.
 constexpr auto keepAliveMargin = std::chrono::milliseconds(700);
@@ -37,43 +35,6 @@
 
 } // namespace
 
-struct ClientPool::Connection {
-    Connection(asio::io_context& context, std::string address)
-        : address(std::move(address))
-        , socket(context)
-        , parser(Parser::Kind::Response, ParserLimits {})
-    {
-    }
-
-    std::string address;
-    asio::ip::tcp::socket socket;
-    Parser parser;
-    ExchangeId exchange = 0;
-    ConnectionUse use;
-    /// \brief Whether its exchanges have an echo field, and the values that were sent.
-    bool identified = false;
-    SentIdentifiers identifiers;
-    ExchangeEvents events;
-    ExchangeOptions options;
-    std::string request;
-    core::TimePoint sentAt {};
-    core::TimePoint connectDeadline {};
-    core::TimePoint responseDeadline = core::TimePoint::max();
-    core::TimePoint idleSince {};
-    core::TimePoint connectedAt {};
-    core::TimePoint receivedAt {};
-    core::Duration keepAliveTimeout = defaultKeepAliveTimeout;
-    bool connected = false;
-    /// \brief The request was sent on a reused connection, and no byte of the response has been received yet.
-    bool reusedWithoutResponse = false;
-    bool writing = false;
-    bool reading = false;
-    bool headDelivered = false;
-    bool skippingResponse = false;
-    bool paused = false;
-    bool closed = false;
-};
-
 ClientPool::ClientPool(asio::io_context& context)
     : context(context)
     , readBuffer(readBufferBytes)
