--- a/soak/memory.py
+++ b/soak/memory.py
@@ -108,8 +108,8 @@
     configure(store)
     worker = Worker()
     await worker.start(store)
-    node = Node([program], directory, "n", "east-1", ip(2), (ip(1), 7000))
-    await node.start(ip(4))
+    node = Node([program], directory, "n", "east-1", ip(2), ip(4), (ip(1), 7000))
+    await node.start()
     uploads, others = collections.Counter(), collections.Counter()
     try:
         while await attempt("probe", "/lodge/x") != 200:
